Prove the decisions under kills, pauses, lost replies and outages

Cause: nothing showed that the promises hold between two I/Os. Tests now kill, pause and lose replies at each step, by table and by seeded search.

A claim now needs listed holders. The row is taken by value. - booking: an executor's 'given up' that overtook its claim left the key stuck; such nonces are remembered. - lease: a contender that read a released lease waited out its retry pause. - membership: heartbeat counters passed on in bounded messages lost 9 of 100 live members. Replaced by probes plus news that is passed on a bounded number of times, so messages do not grow with the fleet.

Ruled out: heartbeat vectors for all members, since 409 of them a round do not fit 7 KB/s.

--- a/apps/mimosadeckd/bookings.cc
+++ b/apps/mimosadeckd/bookings.cc
@@ -144,7 +144,7 @@
 
 void bookings::TakeOverOrphans() {
   const bool settled =
-      Now() - state_.started_at >= state_.membership_options.suspect_after;
+      Now() - state_.started_at >= state_.membership_options.dead_after;
   if (!owners_known_ || state_.draining || !settled) {
     return;
   }
--- a/apps/mimosadeckd/control.cc
+++ b/apps/mimosadeckd/control.cc
@@ -88,14 +88,12 @@
   }
   const auto* member = FindMember(state, incarnation);
   return !member || member->off_list ||
-         membership::StateOf(state.view, state.membership_options, member->id,
-                             now) == membership::member_state::dead;
+         member->state == membership::member_state::dead;
 }
 
 std::vector<ownership::candidate> Candidates(const control& state) {
   std::vector<ownership::candidate> out;
-  for (const auto& member :
-       membership::Eligible(state.view, state.membership_options, Now())) {
+  for (const auto& member : membership::Eligible(state.view)) {
     out.push_back({member.id, member.data_centre});
   }
   return out;
--- a/apps/mimosadeckd/fleet.cc
+++ b/apps/mimosadeckd/fleet.cc
@@ -55,6 +55,7 @@
   out.set_incarnation(in.incarnation);
   out.set_heartbeat(in.heartbeat);
   out.set_leaving(in.leaving);
+  out.set_state(static_cast<std::uint32_t>(in.state));
   out.set_data_centre(in.data_centre);
   out.set_peer_address(in.peer_address);
   out.set_caller_address(in.caller_address);
@@ -67,6 +68,8 @@
   out.incarnation = in.incarnation();
   out.heartbeat = in.heartbeat();
   out.leaving = in.leaving();
+  out.state = static_cast<membership::member_state>(
+      std::min<std::uint32_t>(in.state(), 2));
   out.data_centre = in.data_centre();
   out.peer_address = in.peer_address();
   out.caller_address = in.caller_address();
@@ -150,26 +153,22 @@
     next->document =
         std::make_shared<const config::document>(state_.replica.current);
   }
-  state_.contact.hears_majority =
-      membership::HearsMajority(state_.view, state_.membership_options, Now());
+  state_.contact.hears_majority = membership::HearsMajority(state_.view);
   next->freshness = config::JudgeFreshness(
       state_.replica, state_.contact, state_.settings.max_config_age, Now());
   next->draining = state_.draining;
-  next->entries =
-      membership::Eligible(state_.view, state_.membership_options, Now());
+  next->entries = membership::Eligible(state_.view);
   state_.published.store(std::move(next));
 }
 
 void fleet::Leave() {
   state_.draining = true;
-  state_.view.members.at(state_.settings.id).leaving = true;
+  membership::Leave(state_.view, state_.membership_options);
   Announce();
   Publish();
 }
 
 void fleet::Announce() {
-  auto& self = state_.view.members.at(state_.settings.id);
-  ++self.heartbeat;
   for (const auto& [id, member] : state_.view.members) {
     if (id != state_.settings.id) {
       wire::envelope message;
@@ -187,7 +186,7 @@
   co_await state_.platform.Send(std::move(request));
 }
 
-void fleet::FillHeartbeat(wire::heartbeat& out) const {
+void fleet::FillHeartbeat(wire::heartbeat& out) {
   for (const auto& member :
        membership::Updates(state_.view, state_.membership_options)) {
     internal::ToWire(member, *out.add_members());
@@ -208,7 +207,8 @@
                           std::optional<mono_time> probe_sent_at) {
   const auto now = Now();
   for (const auto& update : beat.members()) {
-    membership::OnUpdate(state_.view, internal::FromWire(update), now);
+    membership::OnUpdate(state_.view, state_.membership_options,
+                         internal::FromWire(update), now);
   }
   if (beat.store_known()) {
     config::OnStoreHeard(state_.contact,
@@ -244,9 +244,14 @@
   FillHeartbeat(*message.mutable_probe());
   const auto answer =
       co_await links_.Call(member, std::move(message), internal::kProbeLimit);
-  if (answer && answer->has_probe()) {
-    TakeHeartbeat(*answer, answer->probe(), sent_at);
+  if (!answer || !answer->has_probe()) {
+    membership::OnProbeFailed(state_.view, state_.membership_options, member,
+                              Now());
+    co_return;
   }
+  membership::OnProbeAnswered(state_.view, state_.membership_options, member,
+                              Now());
+  TakeHeartbeat(*answer, answer->probe(), sent_at);
 }
 
 asio::awaitable<void> fleet::FetchFrom(std::string member) {
@@ -385,15 +390,15 @@
   for (const auto& row : page->rows) {
     const auto member = internal::DecodeMember(row.value);
     if (member) {
-      membership::OnUpdate(state_.view, *member, Now());
+      membership::OnUpdate(state_.view, state_.membership_options, *member,
+                           Now());
     }
   }
 }
 
 asio::awaitable<result<std::uint64_t>> fleet::Edit(
     config::change_set proposed) {
-  if (!membership::HearsMajority(state_.view, state_.membership_options,
-                                 Now())) {
+  if (!membership::HearsMajority(state_.view)) {
     co_return error{result_code::not_ready,
                     "this entry hears no majority of the entries"};
   }
--- a/apps/mimosadeckd/fleet.h
+++ b/apps/mimosadeckd/fleet.h
@@ -49,7 +49,7 @@
   asio::awaitable<void> Register();
   asio::awaitable<void> ReadRegistry();
   asio::awaitable<void> MaybeWriteSnapshot();
-  void FillHeartbeat(wire::heartbeat& out) const;
+  void FillHeartbeat(wire::heartbeat& out);
   void TakeHeartbeat(const wire::envelope& from,
                      const wire::heartbeat& beat,
                      std::optional<mono_time> probe_sent_at);
--- a/apps/mimosadeckd/operators.cc
+++ b/apps/mimosadeckd/operators.cc
@@ -238,14 +238,13 @@
 net::http_response operator_handler::Status() const {
   boost::json::array members;
   for (const auto& [id, member] : state_.view.members) {
-    members.push_back(boost::json::object{
-        {"id", id},
-        {"data_centre", member.data_centre},
-        {"state", internal::MemberStateName(membership::StateOf(
-                      state_.view, state_.membership_options, id, Now()))},
-        {"leaving", member.leaving},
-        {"off_list", member.off_list},
-        {"address", member.caller_address}});
+    members.push_back(
+        boost::json::object{{"id", id},
+                            {"data_centre", member.data_centre},
+                            {"state", internal::MemberStateName(member.state)},
+                            {"leaving", member.leaving},
+                            {"off_list", member.off_list},
+                            {"address", member.caller_address}});
   }
   boost::json::array held;
   for (const auto& name : leases_.Held()) {
--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -496,10 +496,9 @@
       }
     }
     for (auto& [name, entry] : owned_) {
-      for (const auto& [id, unused] : state_.view.members) {
+      for (const auto& [id, member] : state_.view.members) {
         if (id != state_.settings.id &&
-            membership::StateOf(state_.view, state_.membership_options, id,
-                                Now()) == membership::member_state::dead) {
+            member.state == membership::member_state::dead) {
           Perform(name, dispatch::OnEntryGone(entry.pool, options_, id, Now()));
         }
       }
--- a/src/booking/shard.cc
+++ b/src/booking/shard.cc
@@ -227,11 +227,11 @@
   }
 }
 
-void SettleRow(shard& state, const shard_row& row, std::uint64_t version) {
+void SettleRow(shard& state, shard_row row, std::uint64_t version) {
   state.row_version = version;
-  state.row = row;
+  state.row = std::move(row);
   state.proposed.reset();
-  if (state.wants_holders && row.holders == state.holders_wanted) {
+  if (state.wants_holders && state.row.holders == state.holders_wanted) {
     state.wants_holders = false;
   }
 }
@@ -324,6 +324,19 @@
   return out;
 }
 
+bool HasGivenUp(const shard& state, const std::string& nonce) {
+  return std::find(state.given_up.begin(), state.given_up.end(), nonce) !=
+         state.given_up.end();
+}
+
+void RememberGivenUp(shard& state, const std::string& nonce) {
+  constexpr std::size_t kRemembered = 256;
+  state.given_up.push_back(nonce);
+  if (state.given_up.size() > kRemembered) {
+    state.given_up.pop_front();
+  }
+}
+
 claim_outcome OutcomeOf(const record& known,
                         const record& wanted,
                         const departed_test& departed) {
@@ -467,6 +480,7 @@
     }
     item.acknowledged.insert(holder);
     const bool durable =
+        !state.row.holders.empty() &&
         std::includes(item.acknowledged.begin(), item.acknowledged.end(),
                       holders.begin(), holders.end());
     if (durable) {
@@ -503,7 +517,8 @@
                             mono_time now,
                             std::uint64_t& ticket) {
   ticket = state.next_ticket++;
-  if (state.phase != shard_phase::active || state.wants_release) {
+  if (state.phase != shard_phase::active || state.wants_release ||
+      internal::HasGivenUp(state, wanted.nonce)) {
     return {claim_answer{ticket, claim_outcome::refused, {}}};
   }
   const auto known = state.records.find(wanted.key);
@@ -532,6 +547,9 @@
 std::vector<action> OnSettle(shard& state,
                              const record& outcome,
                              bool never_sent) {
+  if (never_sent) {
+    internal::RememberGivenUp(state, outcome.nonce);
+  }
   const auto found = state.records.find(outcome.key);
   if (state.phase != shard_phase::active || found == state.records.end() ||
       found->second.nonce != outcome.nonce) {
--- a/src/booking/shard.h
+++ b/src/booking/shard.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -132,6 +133,8 @@
   std::set<std::string> unsaved;
   std::map<std::string, record> saving;
   std::vector<pending_claim> pending;
+  /** Nonces whose executor gave up, perhaps before the claim arrived. */
+  std::deque<std::string> given_up;
 };
 
 /**
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -141,10 +141,14 @@
   if (const auto* found = std::get_if<platform::row_found>(&reply)) {
     internal::Observe(state, DecodeRecord(found->found.value),
                       found->found.version, now);
+    if (state.seen && state.seen->released) {
+      state.next_action = now;
+    }
     return;
   }
   if (std::holds_alternative<platform::row_absent>(reply)) {
     internal::Observe(state, std::nullopt, 0, now);
+    state.next_action = now;
     return;
   }
   if (std::holds_alternative<platform::conflict>(reply)) {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -1,6 +1,7 @@
 #include "membership/membership.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace mimosadeck::membership {
 namespace internal {
@@ -10,13 +11,34 @@
   if (update.incarnation != known.incarnation) {
     return update.incarnation > known.incarnation;
   }
-  return update.heartbeat > known.heartbeat;
+  if (update.heartbeat != known.heartbeat) {
+    return update.heartbeat > known.heartbeat;
+  }
+  return update.state > known.state || (update.leaving && !known.leaving);
+}
+
+std::uint32_t RelaysFor(const view& state, const options& settings) {
+  return settings.relay_factor *
+         static_cast<std::uint32_t>(std::bit_width(state.members.size()));
+}
+
+void SetState(view& state,
+              const options& settings,
+              member& entry,
+              member_state next,
+              mono_time now) {
+  if (entry.state == next) {
+    return;
+  }
+  entry.state = next;
+  entry.changed_at = now;
+  entry.relays_left = RelaysFor(state, settings);
 }
 
 void ReshuffleOrder(view& state, std::mt19937_64& random) {
   state.probe_order.clear();
-  for (const auto& [id, unused] : state.members) {
-    if (id != state.self) {
+  for (const auto& [id, entry] : state.members) {
+    if (id != state.self && !entry.off_list) {
       state.probe_order.push_back(id);
     }
   }
@@ -24,13 +46,32 @@
   state.next_probe = 0;
 }
 
+void RememberProbe(view& state, bool answered) {
+  const std::size_t others =
+      state.members.size() > 1 ? state.members.size() - 1 : 1;
+  state.recent_probes.push_back(answered);
+  while (state.recent_probes.size() > std::min(kProbesForMajority, others)) {
+    state.recent_probes.pop_front();
+  }
+}
+
+void Refute(view& state, const options& settings, const member& update) {
+  auto& self = state.members.at(state.self);
+  if (update.incarnation == self.incarnation &&
+      update.state != member_state::alive &&
+      update.heartbeat >= self.heartbeat) {
+    self.heartbeat = update.heartbeat + 1;
+    self.relays_left = RelaysFor(state, settings);
+  }
+}
+
 }  // namespace
 }  // namespace internal
 
 void Join(view& state, const member& self, mono_time now) {
   state.self = self.id;
   member entry = self;
-  entry.heard_at = now;
+  entry.changed_at = now;
   state.members[self.id] = std::move(entry);
 }
 
@@ -42,9 +83,12 @@
     return {};
   }
   state.next_round = now + settings.interval;
-  auto& self = state.members.at(state.self);
-  ++self.heartbeat;
-  self.heard_at = now;
+  for (auto& [unused, entry] : state.members) {
+    if (entry.state == member_state::suspect &&
+        now - entry.changed_at >= settings.dead_after) {
+      internal::SetState(state, settings, entry, member_state::dead, now);
+    }
+  }
   std::vector<std::string> targets;
   for (std::size_t i = 0; i < settings.fanout; ++i) {
     if (state.next_probe >= state.probe_order.size()) {
@@ -60,47 +104,91 @@
   return targets;
 }
 
-std::vector<member> Updates(const view& state, const options& settings) {
-  std::vector<const member*> others;
-  for (const auto& [id, entry] : state.members) {
-    if (id != state.self) {
-      others.push_back(&entry);
+void OnProbeAnswered(view& state,
+                     const options& settings,
+                     std::string_view id,
+                     mono_time now) {
+  internal::RememberProbe(state, true);
+  const auto found = state.members.find(id);
+  if (found == state.members.end()) {
+    return;
+  }
+  found->second.failures = 0;
+  internal::SetState(state, settings, found->second, member_state::alive, now);
+}
+
+void OnProbeFailed(view& state,
+                   const options& settings,
+                   std::string_view id,
+                   mono_time now) {
+  internal::RememberProbe(state, false);
+  const auto found = state.members.find(id);
+  if (found == state.members.end()) {
+    return;
+  }
+  ++found->second.failures;
+  if (found->second.failures >= settings.failures_until_suspect &&
+      found->second.state == member_state::alive) {
+    internal::SetState(state, settings, found->second, member_state::suspect,
+                       now);
+  }
+}
+
+std::vector<member> Updates(view& state, const options& settings) {
+  std::vector<member*> news;
+  for (auto& [id, entry] : state.members) {
+    if (id != state.self && entry.relays_left > 0) {
+      news.push_back(&entry);
     }
   }
-  const auto wanted = std::min(settings.updates_per_message, others.size());
-  std::partial_sort(
-      others.begin(), others.begin() + static_cast<std::ptrdiff_t>(wanted),
-      others.end(), [](const member* a, const member* b) {
-        return a->heard_at != b->heard_at ? a->heard_at > b->heard_at
-                                          : a->id < b->id;
-      });
+  const auto wanted = std::min(settings.updates_per_message, news.size());
+  std::partial_sort(news.begin(),
+                    news.begin() + static_cast<std::ptrdiff_t>(wanted),
+                    news.end(), [](const member* a, const member* b) {
+                      return a->relays_left != b->relays_left
+                                 ? a->relays_left > b->relays_left
+                                 : a->id < b->id;
+                    });
   std::vector<member> out{state.members.at(state.self)};
   for (std::size_t i = 0; i < wanted; ++i) {
-    out.push_back(*others[i]);
+    --news[i]->relays_left;
+    out.push_back(*news[i]);
   }
   return out;
 }
 
-bool OnUpdate(view& state, const member& update, mono_time now) {
+bool OnUpdate(view& state,
+              const options& settings,
+              const member& update,
+              mono_time now) {
   if (update.id == state.self) {
+    internal::Refute(state, settings, update);
     return false;
   }
   const auto found = state.members.find(update.id);
-  if (found != state.members.end() &&
-      !internal::IsNewer(update, found->second)) {
+  const bool known = found != state.members.end();
+  if (known && !internal::IsNewer(update, found->second)) {
     return false;
   }
   member next = update;
-  next.heard_at = now;
-  next.off_list = false;
-  if (found != state.members.end() &&
-      found->second.incarnation == update.incarnation) {
+  next.changed_at = now;
+  next.failures = 0;
+  next.relays_left = internal::RelaysFor(state, settings);
+  next.off_list = known && found->second.off_list;
+  if (known && found->second.incarnation == update.incarnation) {
     next.leaving = next.leaving || found->second.leaving;
   }
   state.members[update.id] = std::move(next);
   return true;
 }
 
+void Leave(view& state, const options& settings) {
+  auto& self = state.members.at(state.self);
+  self.leaving = true;
+  ++self.heartbeat;
+  self.relays_left = internal::RelaysFor(state, settings);
+}
+
 void OnVmList(view& state,
               const std::set<std::string>& live,
               const std::set<std::string>& leaving,
@@ -110,59 +198,38 @@
       entry.leaving = true;
     }
     const bool listed = live.contains(id) || leaving.contains(id);
+    if (!listed && !entry.off_list) {
+      entry.changed_at = now;
+    }
     entry.off_list = !listed && id != state.self;
   }
   std::erase_if(state.members, [&](const auto& item) {
     constexpr std::chrono::minutes kForgetAfter{10};
-    return item.second.off_list && now - item.second.heard_at > kForgetAfter;
+    return item.second.off_list && now - item.second.changed_at > kForgetAfter;
   });
 }
 
-member_state StateOf(const view& state,
-                     const options& settings,
-                     std::string_view id,
-                     mono_time now) {
-  const auto found = state.members.find(std::string(id));
-  if (found == state.members.end()) {
-    return member_state::dead;
-  }
-  if (found->first == state.self) {
-    return member_state::alive;
-  }
-  const auto silence = now - found->second.heard_at;
-  if (silence >= settings.dead_after) {
-    return member_state::dead;
-  }
-  return silence >= settings.suspect_after ? member_state::suspect
-                                           : member_state::alive;
+member_state StateOf(const view& state, std::string_view id) {
+  const auto found = state.members.find(id);
+  return found == state.members.end() ? member_state::dead
+                                      : found->second.state;
 }
 
-std::vector<member> Eligible(const view& state,
-                             const options& settings,
-                             mono_time now) {
+std::vector<member> Eligible(const view& state) {
   std::vector<member> out;
   for (const auto& [id, entry] : state.members) {
-    if (!entry.leaving &&
-        StateOf(state, settings, id, now) == member_state::alive) {
+    if (!entry.leaving && !entry.off_list &&
+        entry.state == member_state::alive) {
       out.push_back(entry);
     }
   }
   return out;
 }
 
-bool HearsMajority(const view& state, const options& settings, mono_time now) {
-  std::size_t known = 0;
-  std::size_t heard = 0;
-  for (const auto& [id, entry] : state.members) {
-    if (entry.off_list) {
-      continue;
-    }
-    ++known;
-    if (StateOf(state, settings, id, now) != member_state::dead) {
-      ++heard;
-    }
-  }
-  return heard * 2 > known;
+bool HearsMajority(const view& state) {
+  const auto answered = static_cast<std::size_t>(
+      std::count(state.recent_probes.begin(), state.recent_probes.end(), true));
+  return (answered + 1) * 2 > state.recent_probes.size() + 1;
 }
 
 }  // namespace mimosadeck::membership
--- /dev/null
+++ b/test/config/config_test.cc
@@ -0,0 +1,265 @@
+#define BOOST_TEST_MODULE config
+#include <boost/test/included/unit_test.hpp>
+
+#include <random>
+
+#include "config/config.h"
+#include "stand_in/memory_platform.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::mono_time;
+namespace config = mimosadeck::config;
+namespace platform = mimosadeck::platform;
+
+struct configured_store {
+  mimosadeck::stand_in::memory_platform store;
+  mono_time now{1h};
+
+  static config::edit MakeEdit(std::uint64_t expected,
+                               const std::string& nonce,
+                               const std::string& value = "1") {
+    config::edit out;
+    out.proposed.version = expected + 1;
+    out.proposed.author = "operator";
+    out.proposed.nonce = nonce;
+    out.proposed.changes = {{"path", value}};
+    return out;
+  }
+
+  /** @brief Carries an edit to its end; gives up after many retries. */
+  config::edit_step Carry(config::edit& edit) {
+    auto request = config::BeginEdit(edit);
+    for (int i = 0; i < 50; ++i) {
+      auto step = config::OnEditReply(edit, Handle(store, request));
+      if (auto* next = std::get_if<platform::request>(&step)) {
+        request = *next;
+      } else if (auto* again = std::get_if<config::edit_retry>(&step)) {
+        request = again->again;
+      } else {
+        return step;
+      }
+    }
+    return config::edit_retry{};
+  }
+
+  bool Poll(config::replica& replica) {
+    config::poll poll;
+    auto request = config::BeginPoll(poll, now);
+    while (true) {
+      auto step = config::OnPollReply(replica, poll, Handle(store, request));
+      if (auto* done = std::get_if<config::poll_done>(&step)) {
+        return done->store_answered;
+      }
+      request = std::get<platform::request>(step);
+    }
+  }
+
+  void Accept(int count) {
+    config::replica replica;
+    Poll(replica);
+    for (int i = 0; i < count; ++i) {
+      auto edit = MakeEdit(replica.current.version + static_cast<unsigned>(i),
+                           "n" + std::to_string(i), std::to_string(i));
+      BOOST_REQUIRE(std::holds_alternative<config::edit_accepted>(Carry(edit)));
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(configuration, configured_store)
+
+BOOST_AUTO_TEST_CASE(two_operators_racing_one_wins_other_learns_version) {
+  auto first = MakeEdit(0, "a");
+  auto second = MakeEdit(0, "b");
+  auto first_request = config::BeginEdit(first);
+  auto second_request = config::BeginEdit(second);
+  auto first_step = config::OnEditReply(first, Handle(store, first_request));
+  auto second_step = config::OnEditReply(second, Handle(store, second_request));
+  first_step = config::OnEditReply(
+      first, Handle(store, std::get<platform::request>(first_step)));
+  second_step = config::OnEditReply(
+      second, Handle(store, std::get<platform::request>(second_step)));
+  BOOST_TEST(std::holds_alternative<config::edit_accepted>(first_step));
+  while (std::holds_alternative<platform::request>(second_step)) {
+    second_step = config::OnEditReply(
+        second, Handle(store, std::get<platform::request>(second_step)));
+  }
+  BOOST_REQUIRE(std::holds_alternative<config::edit_lost>(second_step));
+  BOOST_TEST(std::get<config::edit_lost>(second_step).newest == 1);
+}
+
+BOOST_AUTO_TEST_CASE(reply_lost_edit_is_accepted_once) {
+  for (std::uint32_t lost = 1; lost <= 3; ++lost) {
+    configured_store fresh;
+    fresh.store.faults.lost_replies = lost;
+    auto edit = MakeEdit(0, "a");
+    BOOST_TEST(
+        std::holds_alternative<config::edit_accepted>(fresh.Carry(edit)));
+    config::replica replica;
+    fresh.Poll(replica);
+    BOOST_TEST(replica.current.version == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(reply_lost_and_other_wins_edit_is_not_called_accepted) {
+  auto first = MakeEdit(0, "a");
+  auto request = config::BeginEdit(first);
+  auto step = config::OnEditReply(first, Handle(store, request));
+  auto second = MakeEdit(0, "b");
+  BOOST_REQUIRE(std::holds_alternative<config::edit_accepted>(Carry(second)));
+  step = config::OnEditReply(first, platform::unknown_outcome{});
+  while (!std::holds_alternative<config::edit_lost>(step) &&
+         !std::holds_alternative<config::edit_accepted>(step)) {
+    const auto next = std::holds_alternative<platform::request>(step)
+                          ? std::get<platform::request>(step)
+                          : std::get<config::edit_retry>(step).again;
+    step = config::OnEditReply(first, Handle(store, next));
+  }
+  BOOST_TEST(std::holds_alternative<config::edit_lost>(step));
+}
+
+BOOST_AUTO_TEST_CASE(fresh_replica_takes_snapshot_and_newer_changes) {
+  Accept(5);
+  config::replica old;
+  Poll(old);
+  store.objects[std::string(config::kSnapshotObject)] =
+      config::EncodeDocument(old.current);
+  Accept(3);
+  for (int i = 1; i <= 5; ++i) {
+    store.rows.erase(config::ChangeRow(static_cast<std::uint64_t>(i)));
+  }
+  config::replica fresh;
+  BOOST_TEST(Poll(fresh));
+  BOOST_TEST(fresh.current.version == 8);
+  BOOST_TEST(fresh.fresh_at.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(replica_offered_older_state_never_steps_down) {
+  Accept(4);
+  config::replica replica;
+  Poll(replica);
+  config::document old;
+  old.version = 2;
+  BOOST_TEST(!config::ApplyPeerDocument(replica, old));
+  config::change_set late;
+  late.version = 3;
+  BOOST_TEST(!config::ApplyPeerChanges(replica, {late}));
+  store.rows.clear();
+  Poll(replica);
+  BOOST_TEST(replica.current.version == 4);
+}
+
+BOOST_AUTO_TEST_CASE(peer_ahead_replica_catches_up_by_difference) {
+  Accept(6);
+  config::replica ahead;
+  Poll(ahead);
+  config::replica behind;
+  const auto all = config::ChangesSince(ahead, 0);
+  BOOST_REQUIRE(all);
+  BOOST_TEST(config::ApplyPeerChanges(behind, *all));
+  BOOST_TEST((behind.current == ahead.current));
+  BOOST_TEST(config::ChangesSince(ahead, 6)->empty());
+}
+
+BOOST_AUTO_TEST_CASE(peer_word_counts_from_probe_sending) {
+  config::replica replica;
+  config::OnPeerFreshness(replica, 0, 300ms, now);
+  BOOST_REQUIRE(replica.fresh_at);
+  BOOST_TEST((*replica.fresh_at == now - 300ms));
+  config::OnPeerFreshness(replica, 5, 0ms, now + 1s);
+  BOOST_TEST((*replica.fresh_at == now - 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(random_edits_and_polls_versions_only_rise) {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    configured_store fresh;
+    std::mt19937 random(seed);
+    std::array<config::replica, 3> replicas;
+    std::map<std::string, std::string> accepted;
+    std::array<std::uint64_t, 3> last{};
+    for (int step = 0; step < 80; ++step) {
+      const auto who = random() % replicas.size();
+      switch (random() % 6) {
+        case 0: {
+          auto edit = MakeEdit(replicas[who].current.version,
+                               std::to_string(step), std::to_string(step));
+          fresh.store.faults.lost_replies = random() % 3;
+          static_cast<void>(fresh.Carry(edit));
+          break;
+        }
+        case 1:
+          fresh.store.faults.down = !fresh.store.faults.down;
+          break;
+        case 2: {
+          const auto other = random() % replicas.size();
+          const auto changes = config::ChangesSince(
+              replicas[other], replicas[who].current.version);
+          if (changes) {
+            config::ApplyPeerChanges(replicas[who], *changes);
+          }
+          break;
+        }
+        default:
+          fresh.now += 100ms;
+          fresh.Poll(replicas[who]);
+      }
+      for (std::size_t i = 0; i < replicas.size(); ++i) {
+        BOOST_TEST(replicas[i].current.version >= last[i], "seed " << seed);
+        last[i] = replicas[i].current.version;
+      }
+    }
+    fresh.store.faults.down = false;
+    for (auto& replica : replicas) {
+      fresh.Poll(replica);
+    }
+    BOOST_TEST((replicas[0].current == replicas[1].current), "seed " << seed);
+    BOOST_TEST((replicas[1].current == replicas[2].current), "seed " << seed);
+  }
+}
+
+struct freshness_case {
+  std::string name;
+  std::chrono::milliseconds copy_age;
+  std::optional<std::chrono::milliseconds> store_age;
+  bool majority;
+  bool behind;
+  config::freshness expected;
+};
+
+BOOST_AUTO_TEST_CASE(freshness_by_age_and_contact_follows_table) {
+  const std::vector<freshness_case> table{
+      {"young copy", 100ms, 100ms, true, false, config::freshness::fresh},
+      {"young copy, alone", 100ms, 100ms, false, false,
+       config::freshness::fresh},
+      {"old copy, another hears the store", 9s, 100ms, true, false,
+       config::freshness::stale},
+      {"old copy, store lost by a heard majority", 9s, 8s, true, false,
+       config::freshness::store_lost_by_all},
+      {"old copy, store never heard, majority", 9s, std::nullopt, true, false,
+       config::freshness::store_lost_by_all},
+      {"old copy, cut from peers too", 9s, 8s, false, false,
+       config::freshness::stale},
+      {"known to be behind", 100ms, 100ms, true, true,
+       config::freshness::stale},
+  };
+  for (const auto& row : table) {
+    BOOST_TEST_CONTEXT(row.name) {
+      config::replica replica;
+      replica.current.version = 3;
+      replica.newest_known = row.behind ? 4 : 3;
+      replica.fresh_at = now - row.copy_age;
+      config::fleet_contact contact;
+      contact.hears_majority = row.majority;
+      if (row.store_age) {
+        config::OnStoreHeard(contact, now - *row.store_age);
+      }
+      BOOST_TEST(
+          (config::JudgeFreshness(replica, contact, 4s, now) == row.expected));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- /dev/null
+++ b/test/quarantine/quarantine_test.cc
@@ -0,0 +1,100 @@
+#define BOOST_TEST_MODULE quarantine
+#include <boost/test/included/unit_test.hpp>
+
+#include <random>
+
+#include "quarantine/quarantine.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::mono_time;
+namespace quarantine = mimosadeck::quarantine;
+
+struct ward_fixture {
+  quarantine::ward ward;
+  quarantine::options options;
+  mono_time now{1h};
+
+  void Crash(const std::string& name, const std::set<std::string>& running) {
+    static_cast<void>(quarantine::OnCrash(ward, options, name, running, now));
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(suspects, ward_fixture)
+
+BOOST_AUTO_TEST_CASE(request_crashing_alone_twice_is_condemned) {
+  Crash("c1", {"poison", "innocent"});
+  BOOST_TEST(quarantine::MustRunAlone(ward, "poison"));
+  BOOST_TEST(quarantine::MustRunAlone(ward, "innocent"));
+  BOOST_TEST(!quarantine::IsCondemned(ward, "poison"));
+  quarantine::OnFinished(ward, "innocent");
+  Crash("c2", {"poison"});
+  Crash("c3", {"poison"});
+  BOOST_TEST(quarantine::IsCondemned(ward, "poison"));
+  BOOST_TEST(!quarantine::IsCondemned(ward, "innocent"));
+  BOOST_TEST(!quarantine::MustRunAlone(ward, "innocent"));
+}
+
+BOOST_AUTO_TEST_CASE(one_crash_reported_by_many_entries_counts_once) {
+  for (int i = 0; i < 10; ++i) {
+    Crash("c1", {"x"});
+  }
+  BOOST_TEST(!quarantine::IsCondemned(ward, "x"));
+}
+
+BOOST_AUTO_TEST_CASE(suspicion_from_other_entry_adds_up) {
+  Crash("c1", {"x"});
+  quarantine::ward other;
+  static_cast<void>(quarantine::OnCrash(other, options, "c2", {"x"}, now));
+  quarantine::Merge(ward, options, "x", other.suspects.at("x"), now);
+  BOOST_TEST(quarantine::IsCondemned(ward, "x"));
+}
+
+BOOST_AUTO_TEST_CASE(many_innocents_beside_poison_none_is_condemned) {
+  std::mt19937 random(5);
+  for (int round = 0; round < 40; ++round) {
+    quarantine::ward fresh;
+    std::set<std::string> batch{"poison"};
+    for (int i = 0; i < 7; ++i) {
+      batch.insert("n" + std::to_string(random() % 1000));
+    }
+    static_cast<void>(quarantine::OnCrash(fresh, options, "first", batch, now));
+    int crashes = 0;
+    for (const auto& request : batch) {
+      BOOST_TEST(quarantine::MustRunAlone(fresh, request));
+      if (request != "poison") {
+        quarantine::OnFinished(fresh, request);
+        continue;
+      }
+      while (!quarantine::IsCondemned(fresh, request) && crashes < 10) {
+        static_cast<void>(quarantine::OnCrash(
+            fresh, options, "c" + std::to_string(crashes++), {request}, now));
+      }
+    }
+    BOOST_TEST(crashes <= 2);
+    for (const auto& request : batch) {
+      BOOST_TEST(quarantine::IsCondemned(fresh, request) ==
+                 (request == "poison"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fingerprint_depends_on_account_and_body) {
+  BOOST_TEST(quarantine::Fingerprint("a", "x") ==
+             quarantine::Fingerprint("a", "x"));
+  BOOST_TEST(quarantine::Fingerprint("a", "x") !=
+             quarantine::Fingerprint("b", "x"));
+  BOOST_TEST(quarantine::Fingerprint("a", "x") !=
+             quarantine::Fingerprint("a", "y"));
+}
+
+BOOST_AUTO_TEST_CASE(suspect_old_is_forgotten) {
+  Crash("c1", {"x"});
+  quarantine::Tick(ward, options, now + options.forget_after + 1ms);
+  BOOST_TEST(!quarantine::MustRunAlone(ward, "x"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- /dev/null
+++ b/test/usage/usage_test.cc
@@ -0,0 +1,324 @@
+#define BOOST_TEST_MODULE usage
+#include <boost/test/included/unit_test.hpp>
+
+#include <random>
+
+#include <boost/json.hpp>
+
+#include "lease/lease.h"
+#include "stand_in/memory_platform.h"
+#include "usage/usage.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::mono_time;
+namespace lease = mimosadeck::lease;
+namespace platform = mimosadeck::platform;
+namespace usage = mimosadeck::usage;
+
+/** @brief One process that bills while it holds the lease. */
+struct billing_process {
+  lease::contender contender;
+  usage::biller biller;
+  std::optional<platform::request> next;
+  bool is_report{};
+};
+
+struct billing_fleet {
+  mimosadeck::stand_in::memory_platform store;
+  mono_time now{1h};
+  lease::options options;
+  std::array<billing_process, 2> processes;
+
+  billing_fleet() {
+    options.name = "billing";
+    processes[0].contender.self = "a#1";
+    processes[1].contender.self = "b#1";
+  }
+
+  void Lease(billing_process& who) {
+    auto request = lease::Tick(who.contender, options, now, false);
+    if (request) {
+      lease::OnReply(who.contender, options, Handle(store, *request), now);
+    }
+  }
+
+  /** @brief Prepares the next request of a round; sends nothing. */
+  bool Prepare(billing_process& who,
+               const std::optional<platform::reply>& got) {
+    if (!got) {
+      who.next = usage::BeginBilling(who.biller);
+      who.is_report = false;
+      return true;
+    }
+    auto step = usage::OnBillingReply(
+        who.biller, *got, lease::FencingCondition(who.contender, options),
+        who.contender.fencing, true);
+    who.is_report = std::holds_alternative<usage::billing_report>(step);
+    if (who.is_report) {
+      who.next = std::get<usage::billing_report>(step).report;
+      return lease::IsHeld(who.contender, now);
+    }
+    if (auto* request = std::get_if<platform::request>(&step)) {
+      who.next = *request;
+      return true;
+    }
+    who.next.reset();
+    return false;
+  }
+
+  /** @brief Runs one round; stops before request number `stop_at`. */
+  int Round(billing_process& who, int stop_at = 1000) {
+    int count = 0;
+    std::optional<platform::reply> got;
+    while (Prepare(who, got) && count < stop_at) {
+      got = Handle(store, *who.next);
+      ++count;
+    }
+    return count;
+  }
+
+  void Flush(const usage::ledger& source) {
+    usage::flush flush;
+    auto step = usage::BeginFlush(flush, source);
+    for (int i = 0; i < 10; ++i) {
+      const auto* request = std::get_if<platform::request>(&step);
+      if (!request) {
+        return;
+      }
+      step = usage::OnFlushReply(flush, Handle(store, *request));
+    }
+  }
+
+  /** @brief Sums what was reported, each window once. */
+  [[nodiscard]] std::uint64_t Reported(const std::string& account) const {
+    std::uint64_t total = 0;
+    for (const auto& [unused, body] : store.reported) {
+      const auto parsed = boost::json::parse(body);
+      const auto* used = parsed.at("accounts").as_object().if_contains(account);
+      total +=
+          used ? used->at("completion_tokens").to_number<std::uint64_t>() : 0;
+    }
+    return total;
+  }
+
+  /** @brief Checks that no window was ever sent with two bodies. */
+  void CheckReports() const {
+    std::map<std::string, std::string> first;
+    for (const auto& report : store.reports) {
+      const auto known = first.try_emplace(report.window, report.body).first;
+      BOOST_TEST(known->second == report.body);
+    }
+  }
+
+  void HoldBy(std::size_t who) {
+    Lease(processes[who]);
+    Lease(processes[who]);
+    BOOST_REQUIRE(lease::IsHeld(processes[who].contender, now));
+  }
+};
+
+usage::amounts Tokens(std::uint64_t count) {
+  return {1, 2, count};
+}
+
+BOOST_FIXTURE_TEST_SUITE(usage_reports, billing_fleet)
+
+BOOST_AUTO_TEST_CASE(ledger_written_twice_is_billed_once) {
+  usage::ledger ledger;
+  ledger.incarnation = "e#1";
+  usage::Record(ledger, "x", Tokens(7));
+  Flush(ledger);
+  Flush(ledger);
+  HoldBy(0);
+  Round(processes[0]);
+  Round(processes[0]);
+  Round(processes[0]);
+  BOOST_TEST(Reported("x") == 7);
+}
+
+BOOST_AUTO_TEST_CASE(older_copy_written_after_newer_changes_nothing) {
+  usage::ledger ledger;
+  ledger.incarnation = "e#1";
+  usage::Record(ledger, "x", Tokens(7));
+  const auto copy = ledger;
+  usage::Record(ledger, "x", Tokens(5));
+  Flush(ledger);
+  Flush(copy);
+  HoldBy(0);
+  for (int i = 0; i < 4; ++i) {
+    Round(processes[0]);
+  }
+  BOOST_TEST(Reported("x") == 12);
+}
+
+BOOST_AUTO_TEST_CASE(owner_dead_holder_of_copy_writes_what_is_missing) {
+  usage::ledger ledger;
+  ledger.incarnation = "e#1";
+  usage::Record(ledger, "x", Tokens(7));
+  Flush(ledger);
+  usage::Record(ledger, "x", Tokens(5));
+  usage::copy_store holder;
+  usage::OnCopy(holder, ledger);
+  Flush(holder.copies.at("e#1"));
+  HoldBy(0);
+  for (int i = 0; i < 4; ++i) {
+    Round(processes[0]);
+  }
+  BOOST_TEST(Reported("x") == 12);
+}
+
+BOOST_AUTO_TEST_CASE(flush_with_every_reply_lost_still_lands_once) {
+  usage::ledger ledger;
+  ledger.incarnation = "e#1";
+  usage::Record(ledger, "x", Tokens(7));
+  store.faults.lost_replies = 3;
+  for (int i = 0; i < 6; ++i) {
+    Flush(ledger);
+  }
+  store.faults.lost_replies = 0;
+  HoldBy(0);
+  for (int i = 0; i < 4; ++i) {
+    Round(processes[0]);
+  }
+  BOOST_TEST(Reported("x") == 7);
+}
+
+BOOST_AUTO_TEST_CASE(biller_killed_before_each_request_successor_reports_same) {
+  for (int at = 0; at < 12; ++at) {
+    BOOST_TEST_CONTEXT("killed before request " << at) {
+      billing_fleet fresh;
+      usage::ledger ledger;
+      ledger.incarnation = "e#1";
+      usage::Record(ledger, "x", Tokens(7));
+      fresh.Flush(ledger);
+      fresh.HoldBy(0);
+      int left = at;
+      for (int round = 0; round < 3; ++round) {
+        left -= fresh.Round(fresh.processes[0], std::max(0, left));
+      }
+      usage::Record(ledger, "x", Tokens(4));
+      fresh.Flush(ledger);
+      fresh.Lease(fresh.processes[1]);
+      fresh.now += 10s;
+      fresh.HoldBy(1);
+      for (int round = 0; round < 5; ++round) {
+        fresh.Round(fresh.processes[1]);
+      }
+      fresh.CheckReports();
+      BOOST_TEST(fresh.Reported("x") == 11);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(reply_lost_at_each_write_window_has_one_body) {
+  for (std::uint32_t lost = 1; lost <= 6; ++lost) {
+    billing_fleet fresh;
+    usage::ledger ledger;
+    ledger.incarnation = "e#1";
+    usage::Record(ledger, "x", Tokens(7));
+    fresh.Flush(ledger);
+    fresh.HoldBy(0);
+    fresh.store.faults.lost_replies = lost;
+    for (int round = 0; round < 12; ++round) {
+      fresh.now += 500ms;
+      fresh.Lease(fresh.processes[0]);
+      if (lease::IsHeld(fresh.processes[0].contender, fresh.now)) {
+        fresh.Round(fresh.processes[0]);
+      }
+      if (round == 4) {
+        usage::Record(ledger, "x", Tokens(2));
+        fresh.Flush(ledger);
+      }
+    }
+    for (int round = 0; round < 40; ++round) {
+      fresh.now += 500ms;
+      fresh.Lease(fresh.processes[0]);
+      fresh.Round(fresh.processes[0]);
+    }
+    fresh.CheckReports();
+    BOOST_TEST(fresh.Reported("x") == 9);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(biller_paused_at_each_request_changes_no_figures) {
+  for (int at = 0; at < 12; ++at) {
+    BOOST_TEST_CONTEXT("paused before request " << at) {
+      billing_fleet fresh;
+      usage::ledger ledger;
+      ledger.incarnation = "e#1";
+      usage::Record(ledger, "x", Tokens(7));
+      fresh.Flush(ledger);
+      fresh.HoldBy(0);
+      auto& paused = fresh.processes[0];
+      int left = at;
+      std::optional<platform::reply> got;
+      while (fresh.Prepare(paused, got) && left > 0) {
+        got = Handle(fresh.store, *paused.next);
+        --left;
+      }
+      fresh.Lease(fresh.processes[1]);
+      fresh.now += 10s;
+      fresh.HoldBy(1);
+      fresh.Round(fresh.processes[1]);
+      usage::Record(ledger, "x", Tokens(4));
+      fresh.Flush(ledger);
+      fresh.Round(fresh.processes[1]);
+      const bool was_report = paused.is_report;
+      if (paused.next &&
+          (!was_report || lease::IsHeld(paused.contender, fresh.now))) {
+        got = Handle(fresh.store, *paused.next);
+        while (fresh.Prepare(paused, got)) {
+          got = Handle(fresh.store, *paused.next);
+        }
+      }
+      for (int round = 0; round < 4; ++round) {
+        fresh.Round(fresh.processes[1]);
+      }
+      fresh.CheckReports();
+      BOOST_TEST(fresh.Reported("x") == 11);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(totals_random_work_equal_naive_sum) {
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    billing_fleet fresh;
+    std::mt19937 random(seed);
+    std::map<std::string, std::uint64_t> naive;
+    std::vector<usage::ledger> ledgers(4);
+    for (std::size_t i = 0; i < ledgers.size(); ++i) {
+      ledgers[i].incarnation = std::to_string(i) + "#1";
+    }
+    fresh.HoldBy(0);
+    for (int step = 0; step < 60; ++step) {
+      auto& ledger = ledgers[random() % ledgers.size()];
+      const std::string account = "acc" + std::to_string(random() % 5);
+      const auto tokens = random() % 100;
+      usage::Record(ledger, account, Tokens(tokens));
+      naive[account] += tokens;
+      if (random() % 3 == 0) {
+        fresh.store.faults.lost_replies = random() % 2;
+        fresh.Flush(ledger);
+      }
+      if (random() % 4 == 0) {
+        fresh.Round(fresh.processes[0]);
+      }
+    }
+    fresh.store.faults.lost_replies = 0;
+    for (const auto& ledger : ledgers) {
+      fresh.Flush(ledger);
+    }
+    for (int round = 0; round < 100; ++round) {
+      fresh.Round(fresh.processes[0]);
+    }
+    for (const auto& [account, tokens] : naive) {
+      BOOST_TEST(fresh.Reported(account) == tokens, "seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
