--- a/apps/mimosadeckd/bookings.cc
+++ b/apps/mimosadeckd/bookings.cc
@@ -9,8 +9,10 @@
 
 constexpr std::chrono::milliseconds kTickInterval{50};
 constexpr std::chrono::milliseconds kOwnersInterval{1000};
+constexpr std::chrono::seconds kQuietOwnersInterval{10};
 constexpr std::chrono::milliseconds kClaimLimit{1500};
-constexpr std::chrono::milliseconds kOwnerLimit{1500};
+constexpr std::chrono::milliseconds kOwnerLimit{3000};
+constexpr std::size_t kHeirsAsked = 3;
 constexpr std::chrono::milliseconds kCopyLimit{1000};
 constexpr std::chrono::milliseconds kFetchLimit{500};
 constexpr std::chrono::milliseconds kSettleLimit{500};
@@ -138,10 +140,24 @@
         }
       }
     }
-    co_await Sleep(internal::kOwnersInterval);
+    const auto next = Now() + internal::kQuietOwnersInterval;
+    do {
+      co_await Sleep(internal::kOwnersInterval);
+    } while (Now() < next && !IsOwnerMissing() && !state_.stopping);
   }
 }
 
+bool bookings::IsOwnerMissing() const {
+  if (owners_.size() < booking::kShards) {
+    return true;
+  }
+  return std::any_of(owners_.begin(), owners_.end(), [this](const auto& item) {
+    const auto* member = FindMember(state_, item.second);
+    return !member || member->leaving ||
+           member->state == membership::member_state::dead;
+  });
+}
+
 void bookings::TakeOverOrphans() {
   const bool settled =
       Now() - state_.started_at >= state_.membership_options.dead_after;
@@ -275,25 +291,32 @@
   co_return answer.value_or(claim_result{});
 }
 
+std::string bookings::LikelyOwner(std::uint32_t shard,
+                                  std::size_t attempt) const {
+  const auto known = owners_.find(shard);
+  if (known != owners_.end() && attempt % internal::kHeirsAsked == 0) {
+    const auto* member = FindMember(state_, known->second);
+    if (member && member->state != membership::member_state::dead) {
+      return member->id;
+    }
+  }
+  const auto heirs = ownership::Rank(booking::ShardRowKey(shard),
+                                     Candidates(state_), internal::kHeirsAsked);
+  return heirs.empty() ? std::string{} : heirs[attempt % heirs.size()];
+}
+
 asio::awaitable<std::optional<claim_result>> bookings::TryClaim(
     std::uint32_t shard,
-    const booking::record& wanted) {
-  const auto owner = owners_.find(shard);
-  if (owner == owners_.end()) {
-    co_return claim_result{};
-  }
-  if (owner->second == state_.incarnation) {
+    const booking::record& wanted,
+    std::size_t attempt) {
+  const auto id = LikelyOwner(shard, attempt);
+  if (id == state_.settings.id) {
     const auto here = co_await ClaimHere(shard, wanted);
     co_return here;
   }
-  const auto* member = FindMember(state_, owner->second);
-  if (!member) {
-    co_return claim_result{};
-  }
   wire::envelope message;
   message.mutable_booking_claim()->set_shard(shard);
   internal::ToWire(wanted, *message.mutable_booking_claim()->mutable_record());
-  const std::string id = member->id;
   const auto answer =
       co_await links_.Call(id, std::move(message), internal::kClaimLimit);
   if (!answer || !answer->has_booking_claim_reply()) {
@@ -307,8 +330,8 @@
 asio::awaitable<claim_result> bookings::Claim(booking::record wanted) {
   const auto shard = booking::ShardOf(wanted.key);
   const auto give_up = Now() + internal::kOwnerLimit;
-  while (true) {
-    const auto outcome = co_await TryClaim(shard, wanted);
+  for (std::size_t attempt = 0;; ++attempt) {
+    const auto outcome = co_await TryClaim(shard, wanted, attempt);
     if (!outcome) {
       Settle(std::move(wanted), true);
       co_return claim_result{};
@@ -347,29 +370,29 @@
                                                  bool never_sent) {
   ++unsettled_;
   const auto shard = booking::ShardOf(outcome.key);
-  constexpr int kMostTries = 200;
-  for (int i = 0; i < kMostTries; ++i) {
-    const auto owner = owners_.find(shard);
-    if (owner != owners_.end() && owner->second == state_.incarnation) {
-      Perform(shard, booking::OnSettle(shards_.at(shard), outcome, never_sent));
-      break;
-    }
-    const auto* member =
-        owner == owners_.end() ? nullptr : FindMember(state_, owner->second);
-    if (member) {
+  constexpr std::size_t kMostTries = 1000;
+  for (std::size_t attempt = 0; attempt < kMostTries; ++attempt) {
+    const auto id = LikelyOwner(shard, attempt);
+    if (id == state_.settings.id) {
+      if (shards_.at(shard).phase == booking::shard_phase::active) {
+        Perform(shard,
+                booking::OnSettle(shards_.at(shard), outcome, never_sent));
+        break;
+      }
+    } else {
       wire::envelope message;
       auto* out = message.mutable_booking_settle();
       out->set_shard(shard);
       out->set_never_sent(never_sent);
       internal::ToWire(outcome, *out->mutable_record());
-      const auto answer = co_await links_.Call(member->id, std::move(message),
-                                               internal::kSettleLimit);
+      const auto answer =
+          co_await links_.Call(id, std::move(message), internal::kSettleLimit);
       if (answer && answer->has_acknowledgement() &&
           answer->acknowledgement().accepted()) {
         break;
       }
     }
-    co_await Sleep(internal::kSettleLimit);
+    co_await Sleep(internal::kTickInterval);
   }
   --unsettled_;
 }
--- a/apps/mimosadeckd/bookings.h
+++ b/apps/mimosadeckd/bookings.h
@@ -52,9 +52,13 @@
   void Perform(std::uint32_t shard,
                const std::vector<booking::action>& actions);
   void TakeOverOrphans();
+  [[nodiscard]] bool IsOwnerMissing() const;
   asio::awaitable<std::optional<claim_result>> TryClaim(
       std::uint32_t shard,
-      const booking::record& wanted);
+      const booking::record& wanted,
+      std::size_t attempt);
+  [[nodiscard]] std::string LikelyOwner(std::uint32_t shard,
+                                        std::size_t attempt) const;
   asio::awaitable<claim_result> ClaimHere(std::uint32_t shard,
                                           booking::record wanted);
   void TakeClaim(const wire::envelope& call);
--- a/apps/mimosadeckd/fleet.cc
+++ b/apps/mimosadeckd/fleet.cc
@@ -16,10 +16,12 @@
 constexpr std::uint32_t kMembersPerScan = 500;
 constexpr std::uint64_t kVersionsPerSnapshot = 64;
 constexpr std::chrono::milliseconds kProbeLimit{1000};
+constexpr std::chrono::milliseconds kFarewellTime{200};
 constexpr std::chrono::milliseconds kFetchLimit{1000};
 constexpr std::chrono::milliseconds kEditRetry{200};
 constexpr std::chrono::seconds kEditLimit{10};
 constexpr std::chrono::seconds kRegistryInterval{2};
+constexpr std::chrono::seconds kQuietRegistryInterval{30};
 
 std::string MemberRow(const std::string& id) {
   return std::string(kMembersPrefix) + id;
@@ -184,6 +186,9 @@
       {internal::MemberRow(state_.settings.id), std::nullopt});
   platform::request request = std::move(removal);
   co_await state_.platform.Send(std::move(request));
+  membership::Depart(state_.view);
+  Announce();
+  co_await Sleep(internal::kFarewellTime);
 }
 
 void fleet::FillHeartbeat(wire::heartbeat& out) {
@@ -362,7 +367,8 @@
       co_await Register();
     }
     co_await ReadRegistry();
-    co_await Sleep(internal::kRegistryInterval);
+    co_await Sleep(registered_ ? internal::kQuietRegistryInterval
+                               : internal::kRegistryInterval);
   }
 }
 
--- a/apps/mimosadeckd/fleet.h
+++ b/apps/mimosadeckd/fleet.h
@@ -28,7 +28,8 @@
   /** @brief Tells the others that this entry is leaving. */
   void Leave();
 
-  /** @brief Removes this entry's row; the last act of a planned stop. */
+  /** @brief Removes this entry's row and tells the others that it has ended;
+   * the last act of a planned stop. */
   [[nodiscard]] asio::awaitable<void> Unregister();
 
   /** @brief Makes a change of the configuration durable. */
--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds kReconcileInterval{1000};
 constexpr std::chrono::milliseconds kAskAgainAfter{300};
 constexpr std::chrono::milliseconds kAnswerMargin{500};
+constexpr std::chrono::milliseconds kTryAgainAfter{200};
 constexpr std::chrono::milliseconds kLeavingCost{20};
 constexpr std::size_t kPoolsTried = 3;
 constexpr char kCentreMark = '@';
@@ -156,11 +157,6 @@
   }
 }
 
-bool pools::IsKnown(const std::string& name) const {
-  return std::any_of(state_.vms.begin(), state_.vms.end(),
-                     [&](const auto& item) { return item.pool == name; });
-}
-
 std::vector<pools::choice> pools::Choices(const std::string& name) const {
   std::set<std::string> centres;
   for (const auto& item : state_.vms) {
@@ -213,16 +209,31 @@
     co_return slot_refusal{result_code::retry_budget_spent,
                            options_.failure_pause};
   }
-  if (!IsKnown(wanted.name)) {
-    co_return slot_refusal{result_code::no_upstream,
-                           state_.settings.poll_interval};
+  const auto deadline = Now() + wanted.max_wait;
+  while (true) {
+    const auto outcome = co_await AcquireFromAny(wanted, deadline, cancelled);
+    const auto* refused = std::get_if<slot_refusal>(&outcome);
+    const bool again = refused && wanted.tier == 0 && !*cancelled &&
+                       refused->code == result_code::no_upstream &&
+                       Now() + internal::kTryAgainAfter < deadline;
+    if (!again) {
+      co_return outcome;
+    }
+    co_await Sleep(internal::kTryAgainAfter);
   }
+}
+
+asio::awaitable<slot_result> pools::AcquireFromAny(
+    slot_request wanted,
+    mono_time deadline,
+    std::shared_ptr<std::atomic<bool>> cancelled) {
   slot_refusal best{result_code::no_upstream, options_.failure_pause};
   bool has_refusal = false;
-  const auto deadline = Now() + wanted.max_wait;
   const auto choices = Choices(wanted.name);
   for (std::size_t i = 0; i < choices.size() && i < internal::kPoolsTried;
        ++i) {
+    wanted.max_wait =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Now());
     auto outcome = co_await AcquireFrom(choices[i], wanted, cancelled);
     if (std::holds_alternative<slot>(outcome)) {
       known_waits_.erase(choices[i].pool);
@@ -237,10 +248,8 @@
     const bool final = refusal.code == result_code::key_withdrawn ||
                        refusal.code == result_code::quarantined;
     if (final || *cancelled || Now() >= deadline) {
-      break;
+      co_return refusal;
     }
-    wanted.max_wait =
-        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Now());
   }
   co_return best;
 }
--- a/apps/mimosadeckd/pools.h
+++ b/apps/mimosadeckd/pools.h
@@ -120,13 +120,16 @@
   asio::awaitable<void> ReadLoad(std::string pool,
                                  std::string upstream,
                                  std::string address);
+  asio::awaitable<slot_result> AcquireFromAny(
+      slot_request wanted,
+      mono_time deadline,
+      std::shared_ptr<std::atomic<bool>> cancelled);
   asio::awaitable<slot_result> AcquireFrom(
       choice target,
       slot_request wanted,
       std::shared_ptr<std::atomic<bool>> cancelled);
   void UpdateOwned();
   [[nodiscard]] std::vector<choice> Choices(const std::string& name) const;
-  [[nodiscard]] bool IsKnown(const std::string& name) const;
   [[nodiscard]] owned& OwnedPool(const std::string& name);
   void TakeRequest(const wire::envelope& call);
   void TakeRelease(const wire::envelope& message);
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -31,13 +31,16 @@
 }
 
 stop_all() {
-  local pid
+  local pid i
   for pid in "${pids[@]}"; do
     kill "$pid" 2>/dev/null || true
   done
-  for pid in "${pids[@]}"; do
-    wait "$pid" 2>/dev/null || true
+  for ((i = 0; i < 100; i++)); do
+    kill -0 "${pids[@]}" 2>/dev/null || break
+    sleep 0.1
   done
+  kill -9 "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
   rm -rf "$work"
 }
 
--- a/src/dispatch/dispatch.cc
+++ b/src/dispatch/dispatch.cc
@@ -76,6 +76,14 @@
          !IsCondemnedNeighbour(state, wanted, item);
 }
 
+/** @brief Tells whether any upstream could serve the request in time. */
+bool HasCandidate(const pool& state, const request& wanted, mono_time now) {
+  return std::any_of(
+      state.upstreams.begin(), state.upstreams.end(), [&](const auto& item) {
+        return IsUsable(item.second, now) && !wanted.avoid.contains(item.first);
+      });
+}
+
 refused Refuse(const request& wanted,
                result_code code,
                std::chrono::milliseconds retry_after) {
@@ -333,7 +341,7 @@
                               const options& settings,
                               const request& wanted,
                               mono_time now) {
-  if (UsableSlots(state, now) == 0 && wanted.tier != 0) {
+  if (!internal::HasCandidate(state, wanted, now)) {
     return {internal::Refuse(wanted, result_code::no_upstream,
                              settings.failure_pause)};
   }
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -146,7 +146,8 @@
 /**
  * @brief Takes a request.
  * @return A grant, refusals (of this request or of one that it displaces), or
- * nothing while it waits.
+ * nothing while it waits. A request that no upstream of the pool can serve is
+ * refused at once, so that its entry can try another pool.
  */
 [[nodiscard]] std::vector<action> OnRequest(pool& state,
                                             const options& settings,
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -189,6 +189,12 @@
   self.relays_left = internal::RelaysFor(state, settings);
 }
 
+void Depart(view& state) {
+  auto& self = state.members.at(state.self);
+  self.state = member_state::dead;
+  ++self.heartbeat;
+}
+
 void OnVmList(view& state,
               const std::set<std::string>& live,
               const std::set<std::string>& leaving,
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -119,6 +119,9 @@
 /** @brief Says that this process leaves; others give it no new work. */
 void Leave(view& state, const options& settings);
 
+/** @brief Says that this process has ended, so that nobody must find out. */
+void Depart(view& state);
+
 /**
  * @brief Takes the platform's VM list.
  *
--- a/test/dispatch/dispatch_test.cc
+++ b/test/dispatch/dispatch_test.cc
@@ -218,6 +218,17 @@
   BOOST_TEST(used);
 }
 
+BOOST_AUTO_TEST_CASE(every_upstream_to_avoid_request_is_refused_at_once) {
+  AddUpstream("u", 4);
+  for (int tier = 0; tier < 5; ++tier) {
+    auto wanted = Make(tier);
+    wanted.avoid = {"u"};
+    const auto refusal = Refused(Ask(wanted));
+    BOOST_REQUIRE(refusal);
+    BOOST_TEST((refusal->code == result_code::no_upstream));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(suspect_request_runs_alone_on_its_upstream) {
   AddUpstream("u1", 4);
   AddUpstream("u2", 4);
--- a/test/system/deployment.cc
+++ b/test/system/deployment.cc
@@ -387,6 +387,24 @@
   return Call(addresses_.at(id), "GET", "/inspect").Json();
 }
 
+void deployment::SetVmState(const std::string& id,
+                            const std::string& state) const {
+  const bool engine = id.starts_with("engine-");
+  const auto centre =
+      engine ? id.substr(id.find('-') + 1, id.rfind('-') - id.find('-') - 1)
+             : id.substr(id.find('-') + 1);
+  constexpr int kSlots = 4;
+  static_cast<void>(Call(platform_, "POST", "/control/vm",
+                         boost::json::serialize(boost::json::object{
+                             {"id", id},
+                             {"role", engine ? "engine" : "service"},
+                             {"state", state},
+                             {"address", addresses_.at(id)},
+                             {"data_centre", centre},
+                             {"pool", engine ? "notes-small" : "seats"},
+                             {"slots", kSlots}})));
+}
+
 std::int64_t deployment::Runs(const std::string& body) const {
   std::int64_t total = 0;
   for (const auto& id : upstreams_) {
--- a/test/system/deployment.h
+++ b/test/system/deployment.h
@@ -130,6 +130,9 @@
   /** @brief Reads what an upstream has seen. */
   [[nodiscard]] boost::json::value InspectUpstream(const std::string& id) const;
 
+  /** @brief Sets the state of an upstream in the VM list. */
+  void SetVmState(const std::string& id, const std::string& state) const;
+
   /** @brief Counts how often a booking body ran, at all workers together. */
   [[nodiscard]] std::int64_t Runs(const std::string& body) const;
 
