--- a/apps/mimosadeckd/leases.cc
+++ b/apps/mimosadeckd/leases.cc
@@ -1,5 +1,7 @@
 #include "mimosadeckd/leases.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -11,6 +13,7 @@
 constexpr std::chrono::milliseconds kCentresInterval{500};
 constexpr std::chrono::milliseconds kHandOverLimit{5000};
 constexpr int kTermParts = 3;
+constexpr std::size_t kContenders = 2;
 
 lease::options OptionsFor(const settings::daemon_settings& settings,
                           const std::string& name) {
@@ -51,9 +54,25 @@
   return replaced || (member && member->off_list);
 }
 
+bool leases::MayContend(const held_lease& entry) const {
+  if (entry.contender.current == lease::role::holder ||
+      entry.contender.wants_release) {
+    return true;
+  }
+  const auto contenders =
+      ownership::Rank(lease::RowKey(entry.options.name), Candidates(state_),
+                      internal::kContenders);
+  return std::find(contenders.begin(), contenders.end(), state_.settings.id) !=
+         contenders.end();
+}
+
 asio::awaitable<void> leases::LeaseLoop(held_lease& entry) {
   ++active_loops_;
   while (!state_.stopping && !lease::IsReleased(entry.contender)) {
+    if (!MayContend(entry)) {
+      co_await Sleep(internal::kTickInterval);
+      continue;
+    }
     auto request = lease::Tick(entry.contender, entry.options, Now(),
                                HolderDeparted(entry));
     if (request) {
--- a/apps/mimosadeckd/leases.h
+++ b/apps/mimosadeckd/leases.h
@@ -47,6 +47,7 @@
   asio::awaitable<bool> BillingRound(bool window_due);
   [[nodiscard]] orders::counts CountUpstreams(const std::string& name) const;
   [[nodiscard]] bool HolderDeparted(const held_lease& entry) const;
+  [[nodiscard]] bool MayContend(const held_lease& entry) const;
 
   control& state_;
   held_lease billing_;
