Predict a request's wait from its own account's backlog

Cause: admission counted every waiting token of a tier, so one account's burst made requests of small accounts look late; they were refused though fair queuing would have served them at once.

--- a/src/admission/queue.cc
+++ b/src/admission/queue.cc
@@ -27,6 +27,7 @@
     service.virtual_time = std::max(service.virtual_time, tier.virtual_now);
   }
   line.requests.push_back(request);
+  line.expected_tokens += request.expected_tokens;
   ++tier.size;
   ++state.size;
   tier.expected_tokens += request.expected_tokens;
@@ -39,6 +40,7 @@
                 Iterator position) {
   waiting taken = *position;
   line->second.requests.erase(position);
+  line->second.expected_tokens -= taken.expected_tokens;
   if (line->second.requests.empty()) {
     tier.lines.erase(line);
   }
@@ -151,6 +153,7 @@
         }
         out.push_back(*it);
         tier.expected_tokens -= it->expected_tokens;
+        line->second.expected_tokens -= it->expected_tokens;
         --tier.size;
         --state.size;
         it = requests.erase(it);
@@ -243,11 +246,26 @@
   service->second.last_charge = now;
 }
 
-double TokensAhead(const queue& state, int tier) {
+double TokensAhead(const queue& state,
+                   int tier,
+                   const std::string& account,
+                   double weight) {
   double total = 0;
-  for (int number = 0; number <= tier; ++number) {
+  for (int number = 0; number < tier; ++number) {
     total += state.tiers.at(static_cast<std::size_t>(number)).expected_tokens;
   }
+  const auto& lines = state.tiers.at(static_cast<std::size_t>(tier));
+  const auto own = lines.lines.find(account);
+  const double own_tokens =
+      own == lines.lines.end() ? 0 : own->second.expected_tokens;
+  for (const auto& [other, line] : lines.lines) {
+    const auto service = lines.service.find(other);
+    const double other_weight =
+        service == lines.service.end() ? 1 : service->second.weight;
+    total += other == account ? own_tokens
+                              : std::min(line.expected_tokens,
+                                         own_tokens / weight * other_weight);
+  }
   return total;
 }
 
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -41,6 +41,7 @@
 /** @brief Requests of one account in one tier, oldest first. */
 struct account_line {
   std::deque<waiting> requests;
+  double expected_tokens{};
 };
 
 /** @brief Service that one account received in one tier. */
@@ -125,9 +126,19 @@
              mono_time now);
 
 /**
- * @brief Returns the expected tokens that wait at a tier or above.
+ * @brief Returns the expected tokens that go before a new request.
+ *
+ * All of higher tiers counts; of the same tier only what fair sharing serves
+ * before the account's newest request, so that one account's backlog does not
+ * count against another.
+ *
+ * @param account Account of the new request.
+ * @param weight Weight of that account.
  */
-[[nodiscard]] double TokensAhead(const queue& state, int tier);
+[[nodiscard]] double TokensAhead(const queue& state,
+                                 int tier,
+                                 const std::string& account,
+                                 double weight);
 
 }  // namespace mimosadeck::admission
 
--- a/src/dispatch/dispatch.cc
+++ b/src/dispatch/dispatch.cc
@@ -272,7 +272,7 @@
 
 std::chrono::milliseconds PredictWait(const pool& state,
                                       const options& settings,
-                                      int tier,
+                                      const request& wanted,
                                       mono_time now) {
   const auto slots = UsableSlots(state, now);
   if (slots == 0) {
@@ -281,8 +281,9 @@
   const auto free = internal::FreeSlots(state, now);
   const auto reserved = internal::ReservedSlots(state, settings, now);
   const bool has_slot =
-      internal::MayUseReserve(tier) ? free > 0 : free > reserved;
-  const double ahead = admission::TokensAhead(state.queue, tier);
+      internal::MayUseReserve(wanted.tier) ? free > 0 : free > reserved;
+  const double ahead = admission::TokensAhead(state.queue, wanted.tier,
+                                              wanted.account, wanted.weight);
   if (has_slot && ahead <= 0) {
     return std::chrono::milliseconds::zero();
   }
@@ -345,7 +346,7 @@
     return {internal::Refuse(wanted, result_code::no_upstream,
                              settings.failure_pause)};
   }
-  const auto wait = PredictWait(state, settings, wanted.tier, now);
+  const auto wait = PredictWait(state, settings, wanted, now);
   if (settings.predict_wait && wanted.tier != 0 && !wanted.resumed &&
       wait > wanted.max_wait) {
     return {internal::Refuse(wanted, result_code::wait_too_long,
@@ -450,9 +451,8 @@
   std::vector<action> out;
   for (const auto& item : admission::Expire(state.queue, now)) {
     const request wanted = state.waiting.at(item.id);
-    out.push_back(
-        internal::Refuse(wanted, result_code::deadline_passed,
-                         PredictWait(state, settings, wanted.tier, now)));
+    out.push_back(internal::Refuse(wanted, result_code::deadline_passed,
+                                   PredictWait(state, settings, wanted, now)));
     state.waiting.erase(item.id);
   }
   internal::Fill(state, settings, now, out);
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -184,12 +184,12 @@
                                        mono_time now);
 
 /**
- * @brief Predicts the wait of a new request of a tier.
+ * @brief Predicts the wait of a new request.
  * @return Wait; at most one hour, which stands for no usable upstream.
  */
 [[nodiscard]] std::chrono::milliseconds PredictWait(const pool& state,
                                                     const options& settings,
-                                                    int tier,
+                                                    const request& wanted,
                                                     mono_time now);
 
 /** @brief Returns all slots of upstreams that may get work. */
--- a/test/admission/admission_test.cc
+++ b/test/admission/admission_test.cc
@@ -165,6 +165,17 @@
   BOOST_TEST(of_new <= 11);
 }
 
+BOOST_AUTO_TEST_CASE(backlog_of_other_account_does_not_count_as_ahead) {
+  for (int i = 0; i < 100; ++i) {
+    Add("large", 2);
+  }
+  BOOST_TEST(admission::TokensAhead(queue, 2, "small", 1) == 0);
+  Add("small", 2);
+  BOOST_TEST(admission::TokensAhead(queue, 2, "small", 1) == 20);
+  BOOST_TEST(admission::TokensAhead(queue, 2, "large", 1) == 1010);
+  BOOST_TEST(admission::TokensAhead(queue, 3, "small", 1) == 1010);
+}
+
 BOOST_AUTO_TEST_CASE(deadline_passed_request_is_removed) {
   auto request = Make("a", 2);
   request.deadline = now + 1s;
@@ -172,7 +183,7 @@
   BOOST_TEST(admission::Expire(queue, now).empty());
   BOOST_TEST(admission::Expire(queue, now + 1s).size() == 1);
   BOOST_TEST(queue.size == 0);
-  BOOST_TEST(admission::TokensAhead(queue, 4) == 0);
+  BOOST_TEST(admission::TokensAhead(queue, 4, "a", 1) == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
