Let no request wait past the time it could still meet its target in

Cause: requests might wait max_wait, which is longer than the class's target, so an overloaded pool kept its queue at that length and served late what nobody could use.

Ruled out: newest first, which starves the oldest without refusing it.

Change: the wait ends two token gaps before the first-token target; tier 0 keeps its whole longest wait, since it is never shed.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -233,7 +233,10 @@
     wanted.weight = account.weight;
     wanted.tier = service.tier;
     wanted.expected_tokens = static_cast<std::uint32_t>(service.mean_tokens);
-    wanted.max_wait = service.max_wait;
+    wanted.max_wait = service.tier == 0
+                          ? service.max_wait
+                          : std::min(service.max_wait, service.first_token) -
+                                engines_.front().token_time * 2;
     wanted.resumable = service.resumable;
     wanted.resumed = resumed;
     Perform(dispatch::OnRequest(pool_, options_, wanted, now_));
--- a/src/settings/tree.cc
+++ b/src/settings/tree.cc
@@ -383,6 +383,17 @@
   return out;
 }
 
+std::chrono::milliseconds LongestWait(const class_settings& service_class) {
+  if (service_class.tier == 0) {
+    return service_class.max_wait;
+  }
+  const auto first_step = 2 * service_class.token_gap;
+  const auto in_target = service_class.first_token > 2 * first_step
+                             ? service_class.first_token - first_step
+                             : service_class.first_token / 2;
+  return std::min(service_class.max_wait, in_target);
+}
+
 std::vector<std::string> ListModels(const config::document& source) {
   std::vector<std::string> out;
   for (auto it = source.entries.lower_bound(internal::kModels);
--- a/src/settings/tree.h
+++ b/src/settings/tree.h
@@ -106,6 +106,15 @@
     const config::document& source,
     std::string_view account);
 
+/**
+ * @brief Returns how long a request of a class may wait for an upstream.
+ *
+ * Work that could only start past its target is refused instead; tier 0 is
+ * kept for its whole longest wait, since it is never shed.
+ */
+[[nodiscard]] std::chrono::milliseconds LongestWait(
+    const class_settings& service_class);
+
 /** @brief Reads the settings of one class for one client account. */
 [[nodiscard]] class_settings FindClass(const config::document& source,
                                        const account_settings& account,
--- a/test/settings/settings_test.cc
+++ b/test/settings/settings_test.cc
@@ -138,6 +138,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(wait_ends_before_target_except_for_tier_zero) {
+  settings::class_settings lookup;
+  lookup.tier = 1;
+  lookup.first_token = std::chrono::milliseconds(820);
+  lookup.token_gap = std::chrono::milliseconds(47);
+  lookup.max_wait = std::chrono::milliseconds(1500);
+  BOOST_TEST(settings::LongestWait(lookup).count() == 726);
+  lookup.tier = 0;
+  BOOST_TEST(settings::LongestWait(lookup).count() == 1500);
+  lookup.tier = 1;
+  lookup.max_wait = std::chrono::milliseconds(300);
+  BOOST_TEST(settings::LongestWait(lookup).count() == 300);
+}
+
 BOOST_AUTO_TEST_CASE(account_reads_limits_of_its_node) {
   Set("accounts/x", R"({"node":"firm/parish"})");
   Set("tree/firm:limits.requests_per_second", "10");
