Keep a new lease holder from ordering again what its predecessor ordered

Cause: scripts/prove.sh, which removes one mechanism at a time and expects a test to fail, showed that orders_test did not need the repeated intents. With a VM list that lags 8 s the test found why it mattered and a fault besides: a successor whose predecessor had finished its order saw none of it in the list and ordered the same upstreams again (4 instead of 2).

Ruled out: keeping finished intents for the successor, since the list alone says when they have arrived.

Change: a successor makes no orders of its own for settle_time (10 s); open intents are still repeated at once. Cost: after a takeover an eviction is answered up to 10 s later.

Before: holder_killed_list_lagging_successor_orders_no_more fails when killed before requests 4 and 5. After: orders_test 8 of 8.

--- a/apps/mimosadeckd/leases.cc
+++ b/apps/mimosadeckd/leases.cc
@@ -137,7 +137,7 @@
   auto& contender = entry.lease.contender;
   if (entry.term != contender.fencing) {
     entry.term = contender.fencing;
-    orders::BeginTerm(entry.book, contender.fencing);
+    orders::BeginTerm(entry.book, order_options_, contender.fencing, Now());
   }
   auto next =
       orders::Tick(entry.book, order_options_,
--- /dev/null
+++ b/scripts/prove.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Shows that each mechanism is needed: removes one at a time in a copy of the
+# tree and expects its test to fail. Prints a line for each; exits 1 if a test
+# passes without its mechanism.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git archive HEAD | tar -x -C "$copy"
+export MIMOSADECK_BUILD=$copy/build MIMOSADECK_SOURCE=$copy RC_PARAMS="seed=1 max_success=500"
+cmake -S "$copy" -B "$copy/build" -G Ninja >/dev/null
+mapfile -t tests < <(grep -v '^#' scripts/mutations.txt | cut -d'|' -f2 | sort -u)
+cmake --build "$copy/build" --target "${tests[@]}" >/dev/null || exit 2
+failed=0
+while IFS='|' read -r file test what expression; do
+  case "$file" in '#'* | '') continue ;; esac
+  cp "$copy/$file" "$copy/saved"
+  sed -i "$expression" "$copy/$file"
+  if cmp -s "$copy/saved" "$copy/$file"; then
+    verdict="NOT APPLIED"
+    failed=1
+  elif ! cmake --build "$copy/build" --target "$test" >"$copy/log" 2>&1; then
+    verdict="DOES NOT BUILD"
+    failed=1
+  elif timeout 120 "$copy/build/test/$test" >/dev/null 2>&1; then
+    verdict="PASSES WITHOUT IT"
+    failed=1
+  else
+    verdict="fails without it"
+  fi
+  printf '%-18s %-18s %s\n' "$verdict" "$test" "$what"
+  cp "$copy/saved" "$copy/$file"
+done <scripts/mutations.txt
+exit $failed
--- a/src/orders/orders.cc
+++ b/src/orders/orders.cc
@@ -110,7 +110,11 @@
 }  // namespace
 }  // namespace internal
 
-void BeginTerm(book& state, std::uint64_t fencing) {
+void BeginTerm(book& state,
+               const options& settings,
+               std::uint64_t fencing,
+               mono_time now) {
+  state.quiet_until = fencing > 1 ? now + settings.settle_time : now;
   state.step = phase::idle;
   state.scanned = false;
   state.fencing = fencing;
@@ -141,6 +145,9 @@
     state.current_is_written = true;
     return internal::Send(state);
   }
+  if (now < state.quiet_until) {
+    return {};
+  }
   state.current = internal::NextOrder(state, seen, now);
   state.current_is_written = false;
   if (!state.current) {
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -69,6 +69,7 @@
   bool current_is_written{};
   std::map<kind_key, mono_time> settled_until;
   mono_time next_action;
+  mono_time quiet_until;
 };
 
 /** @brief An order may be sent only while the lease is held: check now. */
@@ -79,8 +80,16 @@
 /** @brief The next request of a round; nothing if there is none now. */
 using action = std::variant<std::monostate, platform::request, send_order>;
 
-/** @brief Starts over under a new holding of the lease. */
-void BeginTerm(book& state, std::uint64_t fencing);
+/**
+ * @brief Starts over under a new holding of the lease.
+ *
+ * A successor makes no orders of its own until its predecessor's had time to
+ * show in the VM list.
+ */
+void BeginTerm(book& state,
+               const options& settings,
+               std::uint64_t fencing,
+               mono_time now);
 
 /**
  * @brief Takes note of time while the lease is held.
--- a/test/orders/orders_test.cc
+++ b/test/orders/orders_test.cc
@@ -27,6 +27,9 @@
   orders::options options;
   std::array<ordering_process, 2> processes;
   bool departed{};
+  /** How far the VM list lags behind. */
+  std::chrono::milliseconds lag{};
+  std::map<mono_time, std::uint32_t> history;
   orders::counts seen;
 
   ordering_fleet() {
@@ -53,7 +56,10 @@
     for (const auto& [unused, item] : store.vms) {
       running += item.state == platform::vm_state::live ? 1 : 0;
     }
-    seen[{"m", false}].running = running;
+    history[now] = running;
+    const auto known = history.upper_bound(now - lag);
+    seen[{"m", false}].running =
+        known == history.begin() ? 0 : std::prev(known)->second;
   }
 
   void Lease(ordering_process& who) {
@@ -75,7 +81,7 @@
     }
     if (who.term != who.contender.fencing) {
       who.term = who.contender.fencing;
-      orders::BeginTerm(who.book, who.term);
+      orders::BeginTerm(who.book, options, who.term, now);
     }
     Look();
     who.next = orders::Tick(who.book, options, Condition(who), seen, now);
@@ -149,6 +155,28 @@
       }
       fresh.Run(fresh.processes[1], 30s);
       BOOST_TEST(fresh.Running() == 2);
+      BOOST_TEST(fresh.store.vms.size() == 2);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(holder_killed_list_lagging_successor_orders_no_more) {
+  for (int at = 0; at < 6; ++at) {
+    BOOST_TEST_CONTEXT("killed before request " << at) {
+      ordering_fleet fresh;
+      fresh.lag = 8s;
+      auto& first = fresh.processes[0];
+      fresh.Lease(first);
+      fresh.Lease(first);
+      int left = at;
+      for (int i = 0; i < 5 && left > 0; ++i) {
+        fresh.Begin(first);
+        while (left > 0 && fresh.Send(first)) {
+          --left;
+        }
+      }
+      fresh.Run(fresh.processes[1], 60s);
+      BOOST_TEST(fresh.store.vms.size() == 2);
     }
   }
 }
@@ -160,6 +188,7 @@
     fresh.store.faults.lost_replies = lost;
     fresh.Run(fresh.processes[0], 60s);
     BOOST_TEST(fresh.Running() == 2);
+    BOOST_TEST(fresh.store.vms.size() == 2);
   }
 }
 
