--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -110,7 +110,7 @@
     spans_.erase({message.from(), cancel.request()});
   });
   links_.On(wire::envelope::kGrantPreempt, [this](const auto& message) {
-    Preempt(message.grant_preempt().grant());
+    Preempt(message.grant_preempt().request());
   });
 }
 
@@ -345,8 +345,7 @@
         Preempt(work.id);
       } else {
         wire::envelope message;
-        message.mutable_grant_preempt()->set_pool(pool);
-        message.mutable_grant_preempt()->set_grant(work.id);
+        message.mutable_grant_preempt()->set_request(work.id);
         links_.Notify(work.entry, std::move(message));
       }
     }
@@ -376,7 +375,7 @@
     out->set_retry_after_ms(
         static_cast<std::uint32_t>(refusal.retry_after.count()));
   }
-  out->set_message(pool);
+  out->set_pool(pool);
   links_.Notify(entry, std::move(message));
 }
 
@@ -391,7 +390,7 @@
   slot given;
   given.request = message.correlation();
   given.grant = in.grant();
-  given.pool = in.message();
+  given.pool = in.pool();
   given.owner = message.from();
   given.upstream = in.upstream();
   given.address = in.address();
@@ -522,7 +521,6 @@
     dispatch::grant given;
     given.id = one.grant();
     given.work.entry = message.from();
-    given.work.account = one.account();
     given.work.fingerprint = one.fingerprint();
     given.upstream_id = one.upstream();
     given.granted_at = Now();
@@ -607,7 +605,7 @@
       auto* one = message.mutable_suspicion()->add_suspects();
       one->set_fingerprint(fingerprint);
       one->set_crash(crash);
-      one->set_crashes(known.crashes_alone.contains(crash) ? 1 : 0);
+      one->set_alone(known.crashes_alone.contains(crash));
       one->set_condemned(known.condemned);
     }
   }
@@ -622,7 +620,7 @@
   for (const auto& one : message.suspicion().suspects()) {
     quarantine::suspect known;
     known.crashes.insert(one.crash());
-    if (one.crashes() > 0) {
+    if (one.alone()) {
       known.crashes_alone.insert(one.crash());
     }
     known.condemned = one.condemned();
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -192,11 +192,9 @@
     reading_ = true;
     if (buffer.size() == 0) {
       stream_.expires_after(settings_.idle_timeout);
-      char first = 0;
       co_await stream_.socket().async_wait(
           tcp::socket::wait_read,
           asio::redirect_error(asio::use_awaitable, failure));
-      static_cast<void>(first);
     }
     reading_ = false;
     if (failure || closed_) {
--- a/src/settings/tree.cc
+++ b/src/settings/tree.cc
@@ -44,7 +44,7 @@
     {"limits.tokens_per_second", value_kind::number, 0, 100000000, "0",
      "tokens/s", "Tokens of the account; 0 sets no limit."},
     {"limits.concurrency", value_kind::integer, 0, 1000000, "0", "requests",
-     "Requests of the account at a time; 0 sets no limit."},
+     "Requests of the account at a time at one entry; 0 sets no limit."},
 };
 
 bool IsName(std::string_view text) {
