Make the answer test need attempt numbers

Cause: scripts/prove.sh found that answer_test passed when tokens of an abandoned attempt were taken, since both attempts made equal text.

Change: the verdict on such a token is checked itself.

--- a/test/answer/answer_test.cc
+++ b/test/answer/answer_test.cc
@@ -27,6 +27,7 @@
   const auto first = answer::BeginAttempt(state);
   Token(first, 0);
   const auto second = answer::BeginAttempt(state);
+  BOOST_TEST((answer::OnToken(state, first, {1, {}}) == answer::verdict::drop));
   Token(first, 1);
   Token(second, 1);
   Token(first, 2);
