--- a/apps/mimosadeckd/accounts.cc
+++ b/apps/mimosadeckd/accounts.cc
@@ -203,7 +203,7 @@
 asio::awaitable<bool> accounts::Flush(usage::ledger source,
                                       usage::flush& flush) {
   auto step = usage::BeginFlush(flush, source);
-  while (auto* request = std::get_if<platform::request>(&step)) {
+  while (auto* request = std::get_if<infra::request>(&step)) {
     const auto reply = co_await state_.platform.Send(std::move(*request));
     step = usage::OnFlushReply(flush, reply);
   }
--- a/apps/mimosadeckd/bookings.cc
+++ b/apps/mimosadeckd/bookings.cc
@@ -122,13 +122,13 @@
 
 asio::awaitable<void> bookings::OwnersLoop() {
   while (!state_.stopping) {
-    platform::scan_rows scan;
+    infra::scan_rows scan;
     scan.prefix = internal::kShardRows;
     scan.after = scan.prefix;
     scan.limit = booking::kShards;
-    platform::request request = std::move(scan);
+    infra::request request = std::move(scan);
     const auto reply = co_await state_.platform.Send(std::move(request));
-    if (const auto* page = std::get_if<platform::rows_page>(&reply)) {
+    if (const auto* page = std::get_if<infra::rows_page>(&reply)) {
       owners_.clear();
       owners_known_ = true;
       for (const auto& row : page->rows) {
@@ -205,7 +205,7 @@
 }
 
 asio::awaitable<void> bookings::SendToStore(std::uint32_t shard,
-                                            platform::request request) {
+                                            infra::request request) {
   const auto reply = co_await state_.platform.Send(std::move(request));
   auto& state = shards_.at(shard);
   Perform(shard,
--- a/apps/mimosadeckd/bookings.h
+++ b/apps/mimosadeckd/bookings.h
@@ -42,7 +42,7 @@
   asio::awaitable<void> TickLoop();
   asio::awaitable<void> OwnersLoop();
   asio::awaitable<void> SendToStore(std::uint32_t shard,
-                                    platform::request request);
+                                    infra::request request);
   asio::awaitable<void> SendCopies(std::uint32_t shard,
                                    booking::send_copies copies);
   asio::awaitable<void> Fetch(std::uint32_t shard,
--- a/apps/mimosadeckd/caller.h
+++ b/apps/mimosadeckd/caller.h
@@ -7,22 +7,12 @@
 #include "mimosadeckd/accounts.h"
 #include "mimosadeckd/bookings.h"
 #include "mimosadeckd/pools.h"
+#include "mimosadeckd/refusal.h"
 
 namespace mimosadeck::daemon {
 
 struct call;
 
-/** @brief A refusal, as callers see it. */
-struct refusal {
-  result_code code{result_code::ok};
-  executed run{executed::no};
-  std::chrono::milliseconds retry_after{};
-  std::string message;
-};
-
-/** @brief Builds the response that carries a refusal. */
-[[nodiscard]] net::http_response RefusalResponse(const refusal& reason);
-
 /**
  * @brief Answers callers; runs on traffic threads and asks the control thread
  * for every decision.
--- a/apps/mimosadeckd/control.cc
+++ b/apps/mimosadeckd/control.cc
@@ -12,28 +12,28 @@
                                            std::chrono::milliseconds(1500)};
 constexpr int kHttpOk = 200;
 
-bool IsRead(const platform::request& request) {
-  return std::holds_alternative<platform::read_row>(request) ||
-         std::holds_alternative<platform::scan_rows>(request) ||
-         std::holds_alternative<platform::get_object>(request) ||
-         std::holds_alternative<platform::list_vms>(request);
+bool IsRead(const infra::request& request) {
+  return std::holds_alternative<infra::read_row>(request) ||
+         std::holds_alternative<infra::scan_rows>(request) ||
+         std::holds_alternative<infra::get_object>(request) ||
+         std::holds_alternative<infra::list_vms>(request);
 }
 
-net::http_request MakeRequest(const platform::request& request) {
+net::http_request MakeRequest(const infra::request& request) {
   net::http_request out;
   out.method = "POST";
   out.target = "/platform/v1";
   out.fields["content-type"] = "application/json";
-  out.body = platform::EncodeRequest(request);
+  out.body = infra::EncodeRequest(request);
   return out;
 }
 
-platform::reply Unclear(const platform::request& request,
-                        net::call_progress progress) {
+infra::reply Unclear(const infra::request& request,
+                     net::call_progress progress) {
   if (IsRead(request) || progress == net::call_progress::not_sent) {
-    return platform::unavailable{};
+    return infra::unavailable{};
   }
-  return platform::unknown_outcome{};
+  return infra::unknown_outcome{};
 }
 
 }  // namespace
@@ -42,8 +42,7 @@
 platform_client::platform_client(std::string address)
     : address_(std::move(address)) {}
 
-asio::awaitable<platform::reply> platform_client::Send(
-    platform::request request) {
+asio::awaitable<infra::reply> platform_client::Send(infra::request request) {
   const auto sent_at = Now();
   auto message = internal::MakeRequest(request);
   const auto outcome = co_await client_.Call(address_, std::move(message),
@@ -52,12 +51,12 @@
     co_return internal::Unclear(request, failure->progress);
   }
   const auto& response = std::get<net::http_response>(outcome);
-  const auto decoded = platform::DecodeReply(response.body);
+  const auto decoded = infra::DecodeReply(response.body);
   if (response.status != internal::kHttpOk || !IsOk(decoded)) {
     co_return internal::Unclear(request, net::call_progress::sent);
   }
-  auto reply = std::get<platform::reply>(decoded);
-  if (!std::holds_alternative<platform::unavailable>(reply)) {
+  auto reply = std::get<infra::reply>(decoded);
+  if (!std::holds_alternative<infra::unavailable>(reply)) {
     heard_at_ = sent_at;
   }
   co_return reply;
--- a/apps/mimosadeckd/control.h
+++ b/apps/mimosadeckd/control.h
@@ -16,10 +16,10 @@
 
 #include "base/base.h"
 #include "config/config.h"
+#include "infra/infra.h"
 #include "membership/membership.h"
 #include "net/net.h"
 #include "ownership/ownership.h"
-#include "platform/platform.h"
 #include "settings/settings.h"
 #include "telemetry/telemetry.h"
 
@@ -46,8 +46,7 @@
   explicit platform_client(std::string address);
 
   /** @brief Sends one request and waits for its reply. */
-  [[nodiscard]] asio::awaitable<platform::reply> Send(
-      platform::request request);
+  [[nodiscard]] asio::awaitable<infra::reply> Send(infra::request request);
 
   /** @brief When the table service last answered; unset if never. */
   [[nodiscard]] std::optional<mono_time> HeardAt() const { return heard_at_; }
@@ -81,7 +80,7 @@
   membership::options membership_options;
   config::replica replica;
   config::fleet_contact contact;
-  std::vector<platform::vm> vms;
+  std::vector<infra::vm> vms;
   bool draining{};
   bool stopping{};
   std::atomic<std::shared_ptr<const snapshot>> published;
--- /dev/null
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -0,0 +1,232 @@
+#include "mimosadeckd/edge/daemon.h"
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "mimosadeckd/edge/duties.h"
+#include "mimosadeckd/edge/gossip.h"
+#include "mimosadeckd/edge/requests.h"
+#include "mimosadeckd/edge/state.h"
+#include "mimosadeckd/edge/sync.h"
+#include "mimosadeckd/refusal.h"
+
+namespace mimosadeck::edge {
+namespace internal {
+namespace {
+
+/** Time for which callers keep an answer of the directory. */
+constexpr std::chrono::milliseconds kDirectoryTtl{1000};
+/** Callers keep an answer for up to three times as long. */
+constexpr int kDirectoryTtlFactor = 3;
+/** Part of the stop's time that is left when the process ends by itself. */
+constexpr std::chrono::milliseconds kStopReserve{400};
+constexpr std::chrono::milliseconds kStopPoll{50};
+/** Callers reuse connections up to the idle limit that they know, which a new
+ * manifest may have lowered here. */
+constexpr int kIdleFactor = 2;
+constexpr std::chrono::milliseconds kBodyTimeout{10000};
+/** The usual port of Prometheus exporters; the deploy file names it too. */
+constexpr std::string_view kMetricsPort = "9464";
+
+net::http_response PlainText(std::string text, std::string_view type) {
+  net::http_response out;
+  out.fields["content-type"] = std::string(type);
+  out.body = std::move(text);
+  return out;
+}
+
+net::http_response NotFound() {
+  return daemon::RefusalResponse(
+      {result_code::unknown_route, executed::no, {}, ""});
+}
+
+net::http_response ConnectionRefusal(int status, const std::string& message) {
+  constexpr int kTooLarge = 413;
+  constexpr int kTimeout = 408;
+  const auto code = status == kTooLarge  ? result_code::body_too_large
+                    : status == kTimeout ? result_code::caller_too_slow
+                                         : result_code::malformed_http;
+  auto out = daemon::RefusalResponse({code, executed::no, {}, message});
+  out.status = status;
+  return out;
+}
+
+/** @brief Everything that one entry runs, on one thread. */
+class edge_daemon {
+ public:
+  edge_daemon(platform::machine_settings machine, std::string settings_path)
+      : settings_path_(std::move(settings_path)),
+        state_(io_, std::move(machine)),
+        gossip_(state_),
+        duties_(state_),
+        signals_(io_, SIGTERM, SIGINT, SIGHUP) {}
+
+  int Run() {
+    telemetry::Log(telemetry::level::info, "started",
+                   {{"entry", state_.machine.name},
+                    {"data_centre", state_.machine.data_centre},
+                    {"incarnation", std::to_string(state_.incarnation)}});
+    Listen();
+    gossip_.Start();
+    asio::co_spawn(io_, FollowManifest(state_), asio::detached);
+    asio::co_spawn(io_, FollowUpstreams(state_), asio::detached);
+    asio::co_spawn(io_, FollowEntries(state_), asio::detached);
+    asio::co_spawn(io_, duties_.Run(), asio::detached);
+    WaitForSignal();
+    io_.run();
+    return 0;
+  }
+
+ private:
+  void Listen() {
+    const std::vector<asio::io_context*> contexts{&io_};
+    net::server_options options;
+    options.refuse = ConnectionRefusal;
+    options.current_limits = [this] { return CurrentLimits(); };
+    callers_ = std::make_unique<net::http_server>(
+        contexts, state_.machine.caller_address, options,
+        [this](auto request, auto& exchange) {
+          return ServeCaller(state_, std::move(request), exchange);
+        });
+    const auto answer = [this](net::http_request request,
+                               net::exchange& exchange) {
+      return Answer(std::move(request), exchange);
+    };
+    net::server_options inner;
+    inner.refuse = ConnectionRefusal;
+    for (const auto& address :
+         {state_.machine.ready_address, state_.machine.directory_address,
+          state_.machine.control_address,
+          state_.machine.ip + ':' + std::string(kMetricsPort)}) {
+      inner_.push_back(
+          std::make_unique<net::http_server>(contexts, address, inner, answer));
+    }
+  }
+
+  [[nodiscard]] net::connection_limits CurrentLimits() const {
+    net::connection_limits out;
+    out.body_timeout = kBodyTimeout;
+    if (state_.table) {
+      const auto& limits = state_.table->Limits();
+      out.header_limit_bytes = limits.header_bytes;
+      out.body_limit_bytes = limits.body_bytes;
+      out.header_timeout = limits.header_timeout;
+      out.idle_timeout = limits.idle_timeout * kIdleFactor;
+    }
+    return out;
+  }
+
+  asio::awaitable<void> Answer(net::http_request request,
+                               net::exchange& exchange) {
+    auto response = AnswerFor(request);
+    co_await exchange.Respond(std::move(response));
+  }
+
+  net::http_response AnswerFor(const net::http_request& request) {
+    if (platform::IsReadyQuery(request)) {
+      return platform::EncodeReadyAnswer(IsReady(state_));
+    }
+    if (const auto query = platform::DecodeDirectoryQuery(request)) {
+      const fleet::self_entry self{state_.machine.caller_address,
+                                   state_.machine.data_centre, IsReady(state_)};
+      return platform::EncodeDirectoryAnswer(
+          fleet::AddressesFor(
+              state_.members, state_.fleet_options, self, query->data_centre,
+              platform::kMostDirectoryAddresses, SuspendAwareNow()),
+          std::min(kDirectoryTtl, state_.machine.bounds.directory_ttl));
+    }
+    if (request.target == kManifestPath && state_.table) {
+      return PlainText(state_.manifest_text, "application/octet-stream");
+    }
+    if (request.target == kUpstreamsPath && state_.registry_followed) {
+      return PlainText(EncodeRegistry(state_), "application/octet-stream");
+    }
+    if (request.target == "/metrics") {
+      return PlainText(state_.metrics.Text(), "text/plain; version=0.0.4");
+    }
+    return NotFound();
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](boost::system::error_code failure, int signal) {
+      if (failure) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+      } else if (!state_.draining_since) {
+        asio::co_spawn(io_, Stop(), asio::detached);
+      }
+      WaitForSignal();
+    });
+  }
+
+  /** @brief Takes the agreed bounds anew; nothing in progress is touched. */
+  void Reload() {
+    std::ifstream file(settings_path_);
+    std::stringstream text;
+    text << file.rdbuf();
+    auto read = platform::ReadSettings(text.str());
+    if (const auto* errors = std::get_if<std::vector<error>>(&read)) {
+      for (const auto& found : *errors) {
+        telemetry::Log(telemetry::level::error, "settings_refused",
+                       {{"reason", found.message}});
+      }
+      return;
+    }
+    state_.machine.bounds = std::get<platform::machine_settings>(read).bounds;
+    telemetry::Log(telemetry::level::info, "settings_reloaded",
+                   {{"file", settings_path_}});
+  }
+
+  /** @brief Planned stop: callers go elsewhere and nothing is cut off. */
+  asio::awaitable<void> Stop() {
+    const auto began = SuspendAwareNow();
+    state_.draining_since = began;
+    telemetry::Log(
+        telemetry::level::info, "stop_began",
+        {{"requests_running", std::to_string(callers_->ActiveExchanges())}});
+    callers_->CloseAfterResponses();
+    duties_.Release();
+    gossip_.Announce();
+    const auto last = began + state_.machine.bounds.stop_grace - kStopReserve;
+    const auto gone_elsewhere = began + kDirectoryTtl * kDirectoryTtlFactor;
+    while (SuspendAwareNow() < last && (SuspendAwareNow() < gone_elsewhere ||
+                                        callers_->ActiveExchanges() > 0)) {
+      co_await Sleep(kStopPoll);
+    }
+    const auto cut_off = callers_->ActiveExchanges();
+    callers_->StopAccepting();
+    gossip_.Announce();
+    co_await gossip_.Unregister();
+    state_.stopping = true;
+    telemetry::Log(telemetry::level::info, "stopped",
+                   {{"requests_cut_off", std::to_string(cut_off)}});
+    io_.stop();
+  }
+
+  std::string settings_path_;
+  asio::io_context io_{1};
+  edge_state state_;
+  gossip gossip_;
+  duties duties_;
+  asio::signal_set signals_;
+  std::unique_ptr<net::http_server> callers_;
+  std::vector<std::unique_ptr<net::http_server>> inner_;
+};
+
+}  // namespace
+}  // namespace internal
+
+int RunEdge(platform::machine_settings machine,
+            const std::string& settings_path) {
+  internal::edge_daemon daemon(std::move(machine), settings_path);
+  return daemon.Run();
+}
+
+}  // namespace mimosadeck::edge
--- /dev/null
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -0,0 +1,168 @@
+#include "mimosadeckd/edge/duties.h"
+
+namespace mimosadeck::edge {
+namespace internal {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{200};
+/** Added to the term before another entry may take the lease over. */
+constexpr std::chrono::milliseconds kTakeoverMargin{1000};
+/** Time for the last counts of a window to arrive from the other entries. */
+constexpr std::chrono::milliseconds kSettleTime{1500};
+/** Entries that contend when nobody is heard to hold the lease. */
+constexpr std::size_t kContenders = 2;
+/** Renewals in one term, so that one may be lost. */
+constexpr int kRenewalsPerTerm = 3;
+/** Windows whose frozen figures are kept. */
+constexpr metering::window_number kWindowsKept = 20;
+
+std::string WindowKey(metering::window_number window) {
+  return "usage/" + std::to_string(window);
+}
+
+}  // namespace
+}  // namespace internal
+
+duties::duties(edge_state& state) : state_(state) {
+  options_.name = "duties";
+  options_.term = state.machine.bounds.lease;
+  options_.margin = internal::kTakeoverMargin;
+  options_.renew_interval = options_.term / internal::kRenewalsPerTerm;
+  // A former process on this VM may have acted until just now.
+  quiet_until_ = state.started_at + options_.term;
+  first_window_ = metering::WindowAt(std::chrono::system_clock::now(),
+                                     state.machine.bounds.billing_window);
+}
+
+bool duties::Contends() const {
+  const auto now = SuspendAwareNow();
+  if (state_.lease.current == lease::role::holder) {
+    return true;
+  }
+  return IsReady(state_) &&
+         !fleet::IsLeaseHeldElsewhere(state_.members, state_.fleet_options,
+                                      now) &&
+         fleet::ContentionRank(state_.members, state_.fleet_options,
+                               state_.machine.name,
+                               now) < internal::kContenders;
+}
+
+bool duties::MayAct() const {
+  const auto now = SuspendAwareNow();
+  return now >= quiet_until_ && lease::IsHeld(state_.lease, now);
+}
+
+void duties::StepDown(std::string_view reason) {
+  telemetry::Log(
+      telemetry::level::warning, "lease_lost",
+      {{"fencing", std::to_string(state_.lease.fencing)}, {"reason", reason}});
+  const auto self = state_.lease.self;
+  state_.lease = lease::contender{};
+  state_.lease.self = self;
+  quiet_until_ = SuspendAwareNow() + options_.term;
+}
+
+void duties::Release() {
+  lease::Release(state_.lease);
+}
+
+asio::awaitable<void> duties::Run() {
+  while (!state_.stopping) {
+    co_await TickLease();
+    if (MayAct()) {
+      co_await ReportDueWindows();
+    }
+    co_await Sleep(internal::kTickInterval);
+  }
+}
+
+asio::awaitable<void> duties::TickLease() {
+  if (!Contends() && !state_.lease.wants_release) {
+    co_return;
+  }
+  auto request = lease::Tick(state_.lease, options_, SuspendAwareNow(), true);
+  if (!request) {
+    co_return;
+  }
+  const auto reply = co_await state_.platform.Send(*std::move(request));
+  const auto now = SuspendAwareNow();
+  lease::OnReply(state_.lease, options_, reply, now);
+  const bool held = lease::IsHeld(state_.lease, now);
+  if (held && !was_held_) {
+    telemetry::Log(telemetry::level::info, "lease_taken",
+                   {{"fencing", std::to_string(state_.lease.fencing)}});
+  }
+  if (!held && was_held_) {
+    telemetry::Log(telemetry::level::warning, "lease_lost",
+                   {{"fencing", std::to_string(state_.lease.fencing)},
+                    {"reason", "not renewed in time"}});
+    quiet_until_ = now + options_.term;
+  }
+  was_held_ = held;
+}
+
+asio::awaitable<void> duties::ReportDueWindows() {
+  const auto length = state_.machine.bounds.billing_window;
+  const auto now = FleetTime(state_);
+  const auto present = metering::WindowAt(now, length);
+  const auto oldest = present - std::min(present, internal::kWindowsKept);
+  metering::Forget(state_.tally, oldest);
+  for (auto window = std::max(first_window_, oldest);
+       metering::EndOf(window, length) + internal::kSettleTime <= now;
+       ++window) {
+    if (!reported_.contains(window)) {
+      co_await ReportWindow(window);
+    }
+  }
+  reported_.erase(reported_.begin(), reported_.lower_bound(oldest));
+}
+
+/** Figures are fixed in the store before the first report, so that whoever
+ * reports a window reports the same. */
+asio::awaitable<std::optional<std::string>> duties::Freeze(
+    metering::window_number window) {
+  const auto key = internal::WindowKey(window);
+  const auto own = metering::EncodeCounts(metering::Sum(state_.tally, window));
+  infra::commit wanted;
+  wanted.conditions.push_back({key, 0});
+  wanted.writes.push_back({key, own});
+  infra::request request = std::move(wanted);
+  const auto reply = co_await state_.platform.Send(std::move(request));
+  if (std::holds_alternative<infra::committed>(reply)) {
+    co_return own;
+  }
+  if (!std::holds_alternative<infra::conflict>(reply)) {
+    co_return std::nullopt;
+  }
+  infra::request read = infra::read_row{key};
+  const auto present = co_await state_.platform.Send(std::move(read));
+  if (const auto* found = std::get_if<infra::row_found>(&present)) {
+    co_return found->found.value;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<void> duties::ReportWindow(metering::window_number window) {
+  const auto figures = co_await Freeze(window);
+  if (!figures || !MayAct()) {
+    co_return;
+  }
+  infra::request report = infra::report_usage{std::to_string(window),
+                                              state_.lease.fencing, *figures};
+  const auto reply = co_await state_.platform.Send(std::move(report));
+  if (std::holds_alternative<infra::report_refused>(reply)) {
+    StepDown("usage report refused");
+    co_return;
+  }
+  const bool accepted = std::holds_alternative<infra::report_accepted>(reply);
+  telemetry::Log(telemetry::level::info, "usage_reported",
+                 {{"window", std::to_string(window)},
+                  {"fencing", std::to_string(state_.lease.fencing)},
+                  {"accepted", accepted ? "yes" : "unknown"},
+                  {"figures", *figures}});
+  if (accepted) {
+    reported_.insert(window);
+  }
+}
+
+}  // namespace mimosadeck::edge
--- /dev/null
+++ b/apps/mimosadeckd/edge/duties.h
@@ -0,0 +1,46 @@
+#ifndef APPS_MIMOSADECKD_EDGE_DUTIES_H_
+#define APPS_MIMOSADECKD_EDGE_DUTIES_H_
+
+#include <optional>
+#include <set>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "mimosadeckd/edge/state.h"
+
+namespace mimosadeck::edge {
+
+/**
+ * @brief Contends for the lease and, while it holds it, reports usage.
+ */
+class duties {
+ public:
+  explicit duties(edge_state& state);
+
+  /** @brief Runs until the daemon stops. */
+  [[nodiscard]] asio::awaitable<void> Run();
+
+  /** @brief Gives the lease up before a planned stop. */
+  void Release();
+
+ private:
+  asio::awaitable<void> TickLease();
+  asio::awaitable<void> ReportDueWindows();
+  asio::awaitable<void> ReportWindow(metering::window_number window);
+  asio::awaitable<std::optional<std::string>> Freeze(
+      metering::window_number window);
+  [[nodiscard]] bool MayAct() const;
+  [[nodiscard]] bool Contends() const;
+  void StepDown(std::string_view reason);
+
+  edge_state& state_;
+  lease::options options_;
+  std::set<metering::window_number> reported_;
+  metering::window_number first_window_{};
+  mono_time quiet_until_;
+  bool was_held_{};
+};
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_DUTIES_H_
--- /dev/null
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -0,0 +1,287 @@
+#include "mimosadeckd/edge/gossip.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "net/address.h"
+
+namespace mimosadeck::edge {
+
+using asio::ip::udp;
+
+namespace internal {
+namespace {
+
+constexpr std::chrono::milliseconds kDigestInterval{150};
+/** One digest in so many carries the counts of billing windows. */
+constexpr std::uint64_t kDigestsPerCounts = 5;
+/** Windows that a digest covers: the present one and those not yet due. */
+constexpr std::size_t kWindowsTold = 3;
+constexpr std::size_t kMostSuspectsTold = 12;
+constexpr std::size_t kMostPeersTold = 8;
+constexpr std::size_t kMostDatagramBytes = 60000;
+/** A peer that is not heard is tried at this interval, for so long. */
+constexpr std::uint64_t kDigestsPerTrial = 7;
+constexpr std::chrono::milliseconds kPeerMemory{120000};
+constexpr std::chrono::milliseconds kRegisterPause{500};
+constexpr std::uint32_t kRowsPerScan = 500;
+constexpr std::string_view kMemberPrefix = "member/";
+
+std::string HostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+void FillLoads(const edge_state& state, wire::digest& out) {
+  for (const auto& [name, pool] : state.pools) {
+    for (const auto& [incarnation, found] : pool.candidates) {
+      if (found.own == placement::load{}) {
+        continue;
+      }
+      auto& told = *out.add_loads();
+      told.set_upstream(found.rank);
+      told.set_running(found.own.running);
+      told.set_unread_tokens(found.own.unread_tokens);
+      told.set_held_tokens(found.own.held_tokens);
+    }
+    if (pool.own_demand.short_work > 0 || pool.own_demand.long_work > 0) {
+      auto& told = *out.add_demands();
+      told.set_service(Hash64(name));
+      told.set_short_work(static_cast<float>(pool.own_demand.short_work));
+      told.set_long_work(static_cast<float>(pool.own_demand.long_work));
+    }
+  }
+}
+
+void FillCounts(const edge_state& state, wire::digest& out) {
+  const auto own = state.tally.by_source.find(
+      SourceName(state.machine.name, state.incarnation));
+  if (own == state.tally.by_source.end()) {
+    return;
+  }
+  std::size_t left = kWindowsTold;
+  for (auto each = own->second.rbegin(); each != own->second.rend() && left > 0;
+       ++each, --left) {
+    auto& told = *out.add_windows();
+    told.set_window(each->first);
+    for (const auto& [account, requests] : each->second) {
+      auto& count = *told.add_counts();
+      count.set_account(account);
+      count.set_requests(requests);
+    }
+  }
+}
+
+void FillSuspects(const edge_state& state, wire::digest& out) {
+  std::size_t left = kMostSuspectsTold;
+  for (const auto& [fingerprint, known] : state.ward.suspects) {
+    if (left-- == 0) {
+      return;
+    }
+    auto& told = *out.add_suspects();
+    told.set_fingerprint(fingerprint);
+    for (const auto& crash : known.crashes) {
+      told.add_crashes(crash);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+gossip::gossip(edge_state& state)
+    : state_(state),
+      socket_(state.io,
+              udp::endpoint(asio::ip::make_address(state.machine.ip),
+                            state.machine.peer_port)),
+      own_address_(state.machine.ip + ':' +
+                   std::to_string(state.machine.peer_port)) {}
+
+void gossip::Start() {
+  for (const auto& seed : state_.machine.seeds) {
+    AddPeer(internal::HostOf(seed) + ':' +
+            std::to_string(state_.machine.peer_port));
+  }
+  asio::co_spawn(state_.io, Receive(), asio::detached);
+  asio::co_spawn(state_.io, SendLoop(), asio::detached);
+  asio::co_spawn(state_.io, Register(), asio::detached);
+}
+
+void gossip::Announce() {
+  SendToAll(true);
+}
+
+void gossip::AddPeer(const std::string& address) {
+  if (address != own_address_) {
+    peers_.try_emplace(address, SuspendAwareNow());
+  }
+}
+
+asio::awaitable<void> gossip::Receive() {
+  std::string buffer(internal::kMostDatagramBytes, '\0');
+  while (!state_.stopping) {
+    udp::endpoint sender;
+    boost::system::error_code failure;
+    const auto size = co_await socket_.async_receive_from(
+        asio::buffer(buffer), sender,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (!failure) {
+      Take(buffer.substr(0, size),
+           sender.address().to_string() + ':' + std::to_string(sender.port()));
+    }
+  }
+}
+
+void gossip::Take(const std::string& bytes, const std::string& sender) {
+  wire::digest received;
+  if (!received.ParseFromString(bytes) || received.name().empty() ||
+      received.name() == state_.machine.name) {
+    return;
+  }
+  const auto now = SuspendAwareNow();
+  peers_[sender] = now;
+  for (const auto& address : received.known_peers()) {
+    AddPeer(address);
+  }
+  const auto source = SourceName(received.name(), received.incarnation());
+  for (const auto& told : received.windows()) {
+    metering::counts counts;
+    for (const auto& each : told.counts()) {
+      counts[each.account()] = each.requests();
+    }
+    metering::Merge(state_.tally, source, told.window(), counts);
+  }
+  for (const auto& told : received.suspects()) {
+    quarantine::suspect known;
+    known.crashes = {told.crashes().begin(), told.crashes().end()};
+    quarantine::Merge(state_.ward, state_.quarantine_options,
+                      told.fingerprint(), known, now);
+  }
+  const auto name = received.name();
+  const bool is_new = !state_.members.by_name.contains(name);
+  fleet::OnDigest(state_.members, std::move(received), sender,
+                  std::chrono::system_clock::now(), now);
+  if (is_new) {
+    telemetry::Log(telemetry::level::info, "entry_heard",
+                   {{"entry", name}, {"address", sender}});
+  }
+}
+
+wire::digest gossip::MakeDigest(bool with_counts) {
+  wire::digest out;
+  const auto now = SuspendAwareNow();
+  out.set_name(state_.machine.name);
+  out.set_incarnation(state_.incarnation);
+  out.set_sequence(++sequence_);
+  out.set_data_centre(state_.machine.data_centre);
+  out.set_caller_address(state_.machine.caller_address);
+  out.set_control_address(state_.machine.control_address);
+  out.set_ready(IsReady(state_));
+  out.set_leaving(state_.draining_since.has_value());
+  out.set_wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count());
+  out.set_manifest_version(state_.table ? state_.table->Version() : 0);
+  out.set_fencing(lease::IsHeld(state_.lease, now) ? state_.lease.fencing : 0);
+  out.set_registry_followed(state_.registry_followed);
+  internal::FillLoads(state_, out);
+  if (with_counts) {
+    internal::FillCounts(state_, out);
+    internal::FillSuspects(state_, out);
+    std::size_t left = internal::kMostPeersTold;
+    for (const auto& [name, member] : state_.members.by_name) {
+      if (left-- == 0) {
+        break;
+      }
+      out.add_known_peers(member.peer_address);
+    }
+  }
+  return out;
+}
+
+void gossip::SendToAll(bool with_counts) {
+  const auto bytes = MakeDigest(with_counts).SerializeAsString();
+  const auto now = SuspendAwareNow();
+  const bool is_trial = sequence_ % internal::kDigestsPerTrial == 0;
+  for (const auto& [address, heard_at] : peers_) {
+    if (!is_trial && now - heard_at > state_.fleet_options.live_for) {
+      continue;
+    }
+    const auto target = net::ParseEndpoint(address);
+    boost::system::error_code failure;
+    socket_.send_to(asio::buffer(bytes),
+                    udp::endpoint(target.address(), target.port()), 0, failure);
+    if (failure) {
+      state_.metrics.Count("mimosadeck_digests_unsent_total", "reason",
+                           failure.message());
+    }
+  }
+}
+
+asio::awaitable<void> gossip::SendLoop() {
+  while (!state_.stopping) {
+    const auto now = SuspendAwareNow();
+    std::erase_if(peers_, [now](const auto& each) {
+      return now - each.second > internal::kPeerMemory;
+    });
+    fleet::Tick(state_.members, state_.fleet_options, now);
+    quarantine::Tick(state_.ward, state_.quarantine_options, now);
+    for (auto& [name, pool] : state_.pools) {
+      placement::Tick(pool, now);
+    }
+    RefreshOthersLoad(state_);
+    SendToAll(sequence_ % internal::kDigestsPerCounts == 0);
+    co_await Sleep(internal::kDigestInterval);
+  }
+}
+
+asio::awaitable<void> gossip::Register() {
+  const auto key = std::string(internal::kMemberPrefix) + state_.machine.ip;
+  bool is_written = false;
+  while (!state_.stopping && !is_written) {
+    infra::commit own;
+    own.writes.push_back({key, own_address_});
+    infra::request request = std::move(own);
+    const auto reply = co_await state_.platform.Send(std::move(request));
+    is_written = std::holds_alternative<infra::committed>(reply);
+    if (!is_written) {
+      co_await Sleep(internal::kRegisterPause);
+    }
+  }
+  std::string after;
+  while (!state_.stopping) {
+    infra::request request = infra::scan_rows{
+        std::string(internal::kMemberPrefix), after, internal::kRowsPerScan};
+    const auto reply = co_await state_.platform.Send(std::move(request));
+    const auto* page = std::get_if<infra::rows_page>(&reply);
+    if (!page) {
+      co_await Sleep(internal::kRegisterPause);
+      continue;
+    }
+    for (const auto& row : page->rows) {
+      AddPeer(row.value);
+      after = row.key;
+    }
+    if (!page->more || page->rows.empty()) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> gossip::Unregister() {
+  infra::commit own;
+  own.writes.push_back(
+      {std::string(internal::kMemberPrefix) + state_.machine.ip, std::nullopt});
+  infra::request request = std::move(own);
+  const auto reply = co_await state_.platform.Send(std::move(request));
+  if (!std::holds_alternative<infra::committed>(reply)) {
+    telemetry::Log(telemetry::level::warning, "member_row_left",
+                   {{"reason", "the store did not confirm its removal"}});
+  }
+}
+
+}  // namespace mimosadeck::edge
--- /dev/null
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -0,0 +1,52 @@
+#ifndef APPS_MIMOSADECKD_EDGE_GOSSIP_H_
+#define APPS_MIMOSADECKD_EDGE_GOSSIP_H_
+
+#include <map>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "mimosadeckd/edge/state.h"
+
+namespace mimosadeck::edge {
+
+/**
+ * @brief Sends this entry's digest to the others and takes theirs.
+ *
+ * Datagrams rather than ZeroMQ: a digest replaces the one before it, so a late
+ * one is worthless and must not wait in a queue behind a dead connection.
+ */
+class gossip {
+ public:
+  explicit gossip(edge_state& state);
+
+  /** @brief Starts to send and receive. */
+  void Start();
+
+  /** @brief Sends a digest at once, with all counts. */
+  void Announce();
+
+  /** @brief Takes this entry off the list from which others learn of it. */
+  [[nodiscard]] asio::awaitable<void> Unregister();
+
+ private:
+  asio::awaitable<void> Receive();
+  asio::awaitable<void> SendLoop();
+  asio::awaitable<void> Register();
+  void Take(const std::string& bytes, const std::string& sender);
+  void AddPeer(const std::string& address);
+  [[nodiscard]] wire::digest MakeDigest(bool with_counts);
+  void SendToAll(bool with_counts);
+
+  edge_state& state_;
+  asio::ip::udp::socket socket_;
+  std::string own_address_;
+  /** Addresses of other entries, with the time at which each was heard of. */
+  std::map<std::string, mono_time> peers_;
+  std::uint64_t sequence_{};
+};
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_GOSSIP_H_
--- /dev/null
+++ b/apps/mimosadeckd/edge/state.cc
@@ -0,0 +1,118 @@
+#include "mimosadeckd/edge/state.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadeck::edge {
+namespace internal {
+namespace {
+
+/** Idle connections kept for each upstream. */
+constexpr std::size_t kMostIdleConnections = 16;
+/** Upstreams that must have crashed under a request to condemn it. */
+constexpr std::uint32_t kCrashesToCondemn = 3;
+constexpr std::chrono::milliseconds kSuspectMemory{60000};
+
+platform::client_options ClientOptions(
+    const platform::machine_settings& machine) {
+  platform::client_options out;
+  out.store_address = machine.store_address;
+  out.duty_address = machine.duty_address;
+  out.holder = machine.name;
+  return out;
+}
+
+std::uint64_t MsSinceEpoch() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+}  // namespace internal
+
+edge_state::edge_state(asio::io_context& io, platform::machine_settings machine)
+    : io(io),
+      machine(std::move(machine)),
+      platform(io.get_executor(), internal::ClientOptions(this->machine)),
+      upstream_connections(internal::kMostIdleConnections),
+      started_at(SuspendAwareNow()),
+      incarnation(internal::MsSinceEpoch()) {
+  quarantine_options.crashes_alone = internal::kCrashesToCondemn;
+  quarantine_options.crashes_in_all = internal::kCrashesToCondemn;
+  quarantine_options.forget_after = internal::kSuspectMemory;
+  lease.self = SourceName(this->machine.name, incarnation);
+}
+
+bool IsReady(const edge_state& state) {
+  return state.table && state.registry_fresh_at && !state.draining_since;
+}
+
+wall_time FleetTime(const edge_state& state) {
+  return std::chrono::system_clock::now() +
+         fleet::ClockCorrection(state.members, state.fleet_options,
+                                SuspendAwareNow());
+}
+
+std::string SourceName(const std::string& name, std::uint64_t incarnation) {
+  return name + '/' + std::to_string(incarnation);
+}
+
+void RefreshPools(edge_state& state) {
+  if (!state.table) {
+    return;
+  }
+  for (const auto& service : state.table->Services()) {
+    auto& pool = state.pools[service.name];
+    pool.service = service.name;
+    pool.cache_tokens = service.engine ? service.engine->cache_tokens : 0;
+    pool.tightest_pause = state.table->TightestPauseGoal(service.name)
+                              .value_or(std::chrono::milliseconds(0));
+    placement::SetUpstreams(pool,
+                            registry::Usable(state.upstreams, service.name));
+  }
+}
+
+void RefreshOthersLoad(edge_state& state) {
+  const auto live =
+      fleet::Live(state.members, state.fleet_options, SuspendAwareNow());
+  std::map<std::uint64_t, placement::load> by_hash;
+  std::map<std::uint64_t, placement::demand> demands;
+  for (const auto* each : live) {
+    for (const auto& told : each->last.loads()) {
+      auto& sum = by_hash[told.upstream()];
+      sum.running += told.running();
+      sum.unread_tokens += told.unread_tokens();
+      sum.held_tokens += told.held_tokens();
+    }
+    for (const auto& told : each->last.demands()) {
+      auto& sum = demands[told.service()];
+      sum.short_work += told.short_work();
+      sum.long_work += told.long_work();
+    }
+  }
+  for (auto& [name, pool] : state.pools) {
+    std::map<std::string, placement::load> loads;
+    for (const auto& [incarnation, found] : pool.candidates) {
+      if (const auto told = by_hash.find(found.rank); told != by_hash.end()) {
+        loads[incarnation] = told->second;
+      }
+    }
+    placement::SetOthers(pool, loads, demands[Hash64(name)]);
+  }
+}
+
+std::uint32_t EntryCount(const edge_state& state) {
+  return static_cast<std::uint32_t>(state.members.by_name.size()) + 1;
+}
+
+asio::awaitable<void> Sleep(std::chrono::milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace mimosadeck::edge
--- /dev/null
+++ b/apps/mimosadeckd/edge/state.h
@@ -0,0 +1,92 @@
+#ifndef APPS_MIMOSADECKD_EDGE_STATE_H_
+#define APPS_MIMOSADECKD_EDGE_STATE_H_
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "base/base.h"
+#include "fleet/fleet.h"
+#include "lease/lease.h"
+#include "metering/metering.h"
+#include "net/net.h"
+#include "placement/placement.h"
+#include "platform/platform.h"
+#include "quarantine/quarantine.h"
+#include "registry/registry.h"
+#include "retry/retry.h"
+#include "routing/routing.h"
+#include "telemetry/telemetry.h"
+
+namespace mimosadeck::edge {
+
+namespace asio = boost::asio;
+
+/** @brief State that all parts of an edge daemon share, on one thread. */
+struct edge_state {
+  edge_state(asio::io_context& io, platform::machine_settings machine);
+
+  asio::io_context& io;
+  platform::machine_settings machine;
+  telemetry::metrics metrics;
+  platform::client platform;
+  /** Connections to upstreams. */
+  net::connection_cache upstream_connections;
+  mono_time started_at;
+  std::uint64_t incarnation{};
+
+  std::shared_ptr<const routing::table> table;
+  std::string manifest_text;
+
+  registry::upstream_set upstreams;
+  registry::options registry_options;
+  /** When the registry was last known to be complete; unset before. */
+  std::optional<mono_time> registry_fresh_at;
+  /** False while the store does not answer for the registry. */
+  bool registry_followed{};
+
+  std::map<std::string, placement::pool, std::less<>> pools;
+  placement::options placement_options;
+  std::map<std::string, retry::budget, std::less<>> budgets;
+  quarantine::ward ward;
+  quarantine::options quarantine_options;
+
+  fleet::members members;
+  fleet::options fleet_options;
+  metering::tally tally;
+  lease::contender lease;
+
+  std::optional<mono_time> draining_since;
+  bool stopping{};
+};
+
+/** @brief Tells whether callers can be served. */
+[[nodiscard]] bool IsReady(const edge_state& state);
+
+/** @brief Returns the calendar time, corrected by the other entries' clocks. */
+[[nodiscard]] wall_time FleetTime(const edge_state& state);
+
+/** @brief Names this process among the sources of billing counts. */
+[[nodiscard]] std::string SourceName(const std::string& name,
+                                     std::uint64_t incarnation);
+
+/** @brief Brings the pools up to date with the manifest and the registry. */
+void RefreshPools(edge_state& state);
+
+/** @brief Tells the pools what the other entries have sent. */
+void RefreshOthersLoad(edge_state& state);
+
+/** @brief Returns the number of entries that share the retry limits. */
+[[nodiscard]] std::uint32_t EntryCount(const edge_state& state);
+
+/** @brief Waits. */
+[[nodiscard]] asio::awaitable<void> Sleep(std::chrono::milliseconds time);
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_STATE_H_
--- /dev/null
+++ b/apps/mimosadeckd/edge/sync.h
@@ -0,0 +1,40 @@
+#ifndef APPS_MIMOSADECKD_EDGE_SYNC_H_
+#define APPS_MIMOSADECKD_EDGE_SYNC_H_
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "mimosadeckd/edge/state.h"
+
+namespace mimosadeck::edge {
+
+/** @brief Path at which an entry hands its manifest to others. */
+inline constexpr std::string_view kManifestPath = "/manifest";
+/** @brief Path at which an entry hands its registry to others. */
+inline constexpr std::string_view kUpstreamsPath = "/upstreams";
+
+/**
+ * @brief Puts a manifest in force unless the present one is as new.
+ * @param origin Who gave it, for the log.
+ */
+void AdoptManifest(edge_state& state,
+                   const std::string& text,
+                   std::string_view origin);
+
+/** @brief Follows the operators' manifest in the store. */
+[[nodiscard]] asio::awaitable<void> FollowManifest(edge_state& state);
+
+/** @brief Follows the upstreams' entries in the store. */
+[[nodiscard]] asio::awaitable<void> FollowUpstreams(edge_state& state);
+
+/** @brief Takes from other entries what the store does not give this one. */
+[[nodiscard]] asio::awaitable<void> FollowEntries(edge_state& state);
+
+/** @brief Writes the registry for another entry. */
+[[nodiscard]] std::string EncodeRegistry(const edge_state& state);
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_SYNC_H_
--- /dev/null
+++ b/apps/mimosadeckd/edge/work.h
@@ -0,0 +1,69 @@
+#ifndef APPS_MIMOSADECKD_EDGE_WORK_H_
+#define APPS_MIMOSADECKD_EDGE_WORK_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "answer/answer.h"
+#include "forwarding/forwarding.h"
+#include "mimosadeckd/edge/state.h"
+#include "mimosadeckd/refusal.h"
+
+namespace mimosadeck::edge {
+
+/** @brief One caller's request on its way through this entry. */
+struct work {
+  net::http_request received;
+  platform::caller_request asked;
+  /** The manifest in force when the request came; it serves to the end. */
+  std::shared_ptr<const routing::table> table;
+  const routing::route* route{};
+  /** Null on open routes. */
+  const routing::client_account* account{};
+  std::string service;
+  placement::job job;
+  std::chrono::steady_clock::time_point arrived;
+  std::chrono::steady_clock::time_point deadline;
+
+  forwarding::progress progress;
+  answer::event_framer events;
+  /** Upstreams that were tried, by incarnation. */
+  std::set<std::string> tried;
+  /** Upstreams and how each attempt ended, for the log. */
+  std::string attempts;
+  std::optional<std::chrono::milliseconds> expected;
+  std::optional<std::chrono::milliseconds> begun_after;
+  /** The call in progress, so that it can be closed. */
+  net::http_call* call{};
+  bool caller_left{};
+
+  [[nodiscard]] std::string AccountName() const {
+    return account ? account->name : std::string{};
+  }
+};
+
+/** @brief Carries a request to upstreams and the answer back. */
+[[nodiscard]] asio::awaitable<void> Forward(edge_state& state,
+                                            std::shared_ptr<work> work,
+                                            net::exchange& exchange);
+
+/** @brief Answers with a refusal and logs the request's end. */
+[[nodiscard]] asio::awaitable<void> Refuse(edge_state& state,
+                                           const work& work,
+                                           daemon::refusal reason,
+                                           net::exchange& exchange);
+
+/** @brief Logs how a request ended, with what decided it. */
+void LogEnd(edge_state& state,
+            const work& work,
+            int status,
+            std::string_view outcome);
+
+/** @brief Identifies requests that are the same to an upstream. */
+[[nodiscard]] std::string FingerprintOf(const work& work);
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_WORK_H_
--- a/apps/mimosadeckd/fleet.cc
+++ b/apps/mimosadeckd/fleet.cc
@@ -181,10 +181,10 @@
 }
 
 asio::awaitable<void> fleet::Unregister() {
-  platform::commit removal;
+  infra::commit removal;
   removal.writes.push_back(
       {internal::MemberRow(state_.settings.id), std::nullopt});
-  platform::request request = std::move(removal);
+  infra::request request = std::move(removal);
   co_await state_.platform.Send(std::move(request));
   membership::Depart(state_.view);
   Announce();
@@ -299,7 +299,7 @@
   while (true) {
     const auto reply = co_await state_.platform.Send(std::move(request));
     auto step = config::OnPollReply(state_.replica, poll, reply);
-    if (auto* next = std::get_if<platform::request>(&step)) {
+    if (auto* next = std::get_if<infra::request>(&step)) {
       request = std::move(*next);
       continue;
     }
@@ -331,27 +331,27 @@
                   std::vector<std::string>{state_.settings.id}) {
     co_return;
   }
-  platform::put_object object;
+  infra::put_object object;
   object.name = config::kSnapshotObject;
   object.bytes = config::EncodeDocument(state_.replica.current);
-  platform::request request = std::move(object);
+  infra::request request = std::move(object);
   const auto reply = co_await state_.platform.Send(std::move(request));
-  if (std::holds_alternative<platform::object_stored>(reply)) {
+  if (std::holds_alternative<infra::object_stored>(reply)) {
     snapshot_version_ = version;
   }
 }
 
 asio::awaitable<void> fleet::VmLoop() {
   while (!state_.stopping) {
-    platform::request request = platform::list_vms{};
+    infra::request request = infra::list_vms{};
     const auto reply = co_await state_.platform.Send(std::move(request));
-    if (const auto* list = std::get_if<platform::vm_list>(&reply)) {
+    if (const auto* list = std::get_if<infra::vm_list>(&reply)) {
       state_.vms = list->vms;
       std::set<std::string> live;
       std::set<std::string> leaving;
       for (const auto& item : list->vms) {
-        if (item.role == platform::vm_role::entry) {
-          (item.state == platform::vm_state::live ? live : leaving)
+        if (item.role == infra::vm_role::entry) {
+          (item.state == infra::vm_state::live ? live : leaving)
               .insert(item.id);
         }
       }
@@ -373,23 +373,23 @@
 }
 
 asio::awaitable<void> fleet::Register() {
-  platform::commit row;
+  infra::commit row;
   row.writes.push_back(
       {internal::MemberRow(state_.settings.id),
        internal::EncodeMember(state_.view.members.at(state_.settings.id))});
-  platform::request request = std::move(row);
+  infra::request request = std::move(row);
   const auto reply = co_await state_.platform.Send(std::move(request));
-  registered_ = std::holds_alternative<platform::committed>(reply);
+  registered_ = std::holds_alternative<infra::committed>(reply);
 }
 
 asio::awaitable<void> fleet::ReadRegistry() {
-  platform::scan_rows scan;
+  infra::scan_rows scan;
   scan.prefix = internal::kMembersPrefix;
   scan.after = scan.prefix;
   scan.limit = internal::kMembersPerScan;
-  platform::request request = std::move(scan);
+  infra::request request = std::move(scan);
   const auto reply = co_await state_.platform.Send(std::move(request));
-  const auto* page = std::get_if<platform::rows_page>(&reply);
+  const auto* page = std::get_if<infra::rows_page>(&reply);
   if (!page) {
     co_return;
   }
@@ -415,7 +415,7 @@
   while (true) {
     const auto reply = co_await state_.platform.Send(std::move(request));
     auto step = config::OnEditReply(edit, reply);
-    if (auto* next = std::get_if<platform::request>(&step)) {
+    if (auto* next = std::get_if<infra::request>(&step)) {
       request = std::move(*next);
     } else if (auto* retry = std::get_if<config::edit_retry>(&step)) {
       if (Now() >= give_up) {
--- a/apps/mimosadeckd/leases.cc
+++ b/apps/mimosadeckd/leases.cc
@@ -116,7 +116,7 @@
   for (const auto& item : state_.vms) {
     const auto found = out.find({item.pool, item.cheaper});
     if (item.data_centre == name && found != out.end() &&
-        item.state == platform::vm_state::live) {
+        item.state == infra::vm_state::live) {
       ++found->second.running;
     }
   }
@@ -144,7 +144,7 @@
                    lease::FencingCondition(contender, entry.lease.options),
                    CountUpstreams(entry.book.data_centre), Now());
   while (!std::holds_alternative<std::monostate>(next)) {
-    platform::reply reply;
+    infra::reply reply;
     if (const auto* order = std::get_if<orders::send_order>(&next)) {
       if (!lease::IsHeld(contender, Now()) || contender.fencing != entry.term) {
         orders::OnNotSent(entry.book);
@@ -154,10 +154,10 @@
                      {{"data_centre", order->order.data_centre},
                       {"order", order->order.order_id},
                       {"pool", order->order.pool}});
-      platform::request request = order->order;
+      infra::request request = order->order;
       reply = co_await state_.platform.Send(std::move(request));
     } else {
-      auto request = std::get<platform::request>(std::move(next));
+      auto request = std::get<infra::request>(std::move(next));
       reply = co_await state_.platform.Send(std::move(request));
     }
     next = orders::OnReply(
@@ -186,7 +186,7 @@
 asio::awaitable<bool> leases::BillingRound(bool window_due) {
   usage::biller biller;
   const auto& contender = billing_.contender;
-  platform::request request = usage::BeginBilling(biller);
+  infra::request request = usage::BeginBilling(biller);
   while (true) {
     const auto reply = co_await state_.platform.Send(std::move(request));
     auto next = usage::OnBillingReply(
@@ -197,7 +197,7 @@
         co_return false;
       }
       request = report->report;
-    } else if (auto* more = std::get_if<platform::request>(&next)) {
+    } else if (auto* more = std::get_if<infra::request>(&next)) {
       request = std::move(*more);
     } else if (const auto* done = std::get_if<usage::billing_done>(&next)) {
       co_return done->again;
--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -1,5 +1,8 @@
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include <tclap/CmdLine.h>
@@ -11,6 +14,7 @@
 #include "mimosadeckd/accounts.h"
 #include "mimosadeckd/bookings.h"
 #include "mimosadeckd/caller.h"
+#include "mimosadeckd/edge/daemon.h"
 #include "mimosadeckd/fleet.h"
 #include "mimosadeckd/leases.h"
 #include "mimosadeckd/operators.h"
@@ -78,8 +82,9 @@
       guards.push_back(asio::make_work_guard(*traffic.back()));
     }
     net::server_options options;
-    options.body_limit_bytes = settings_.body_limit_bytes;
-    options.request_timeout = settings_.caller_timeout;
+    options.limits.body_limit_bytes = settings_.body_limit_bytes;
+    options.limits.header_timeout = settings_.caller_timeout;
+    options.limits.body_timeout = settings_.caller_timeout;
     options.refuse = ServerRefusal;
     caller_server_ = std::make_unique<net::http_server>(
         traffic, settings_.caller_address, options,
@@ -187,13 +192,45 @@
   std::unique_ptr<net::http_server> operator_server_;
 };
 
+void PrintErrors(const std::vector<error>& errors) {
+  for (const auto& found : errors) {
+    std::cerr << static_cast<int>(found.code) << ' '
+              << ResultCodeName(found.code) << ": " << found.message << '\n';
+  }
+}
+
+/** @brief Runs on the users' platform, whose settings file has its own form. */
+int RunOnPlatform(const std::string& path, bool check_only) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    PrintErrors({{result_code::file_unreadable, path}});
+    return kExitBadSettings;
+  }
+  auto read = platform::ReadSettings(text.str());
+  if (const auto* errors = std::get_if<std::vector<error>>(&read)) {
+    PrintErrors(*errors);
+    return kExitBadSettings;
+  }
+  if (check_only) {
+    std::cout << path << ": good" << std::endl;
+    return kExitOk;
+  }
+  auto& machine = std::get<platform::machine_settings>(read);
+  telemetry::StartLogging(machine.name, telemetry::log_target::standard_output);
+  return edge::RunEdge(std::move(machine), path);
+}
+
+std::string PlatformSettingsPath() {
+  const char* path = std::getenv(platform::kSettingsVariable);
+  return path ? path : "";
+}
+
 int Run(const std::string& path, bool check_only) {
   const auto loaded = settings::LoadSettings(path);
   if (const auto* errors = std::get_if<std::vector<error>>(&loaded)) {
-    for (const auto& found : *errors) {
-      std::cerr << static_cast<int>(found.code) << ' '
-                << ResultCodeName(found.code) << ": " << found.message << '\n';
-    }
+    PrintErrors(*errors);
     return kExitBadSettings;
   }
   const auto& file = std::get<settings::settings_file>(loaded);
@@ -220,10 +257,21 @@
     TCLAP::CmdLine line("mimosadeck entry daemon", ' ', "0.1.0");
     TCLAP::SwitchArg check("", "check-settings",
                            "Check the file, list every error, and exit", line);
+    TCLAP::SwitchArg platform(
+        "", "platform",
+        "Run on the users' platform; the file defaults to the one that the "
+        "environment names",
+        line);
     TCLAP::UnlabeledValueArg<std::string> file(
-        "file", "Settings file, JSON with comments", true, "", "FILE", line);
+        "file", "Settings file, JSON with comments", false, "", "FILE", line);
     line.parse(argc, argv);
-    return mimosadeck::daemon::internal::Run(file.getValue(), check.getValue());
+    namespace run = mimosadeck::daemon::internal;
+    if (platform.getValue()) {
+      return run::RunOnPlatform(
+          file.isSet() ? file.getValue() : run::PlatformSettingsPath(),
+          check.getValue());
+    }
+    return run::Run(file.getValue(), check.getValue());
   } catch (const std::exception& failure) {
     std::cerr << "mimosadeckd: " << failure.what() << '\n';
     return kExitFailure;
--- a/apps/mimosadeckd/operators.cc
+++ b/apps/mimosadeckd/operators.cc
@@ -195,13 +195,13 @@
 asio::awaitable<net::http_response> operator_handler::ReadRows(
     std::string prefix,
     std::string after) {
-  platform::scan_rows scan;
+  infra::scan_rows scan;
   scan.prefix = std::move(prefix);
   scan.after = std::move(after);
   scan.limit = internal::kRowsPerRead;
-  platform::request request = std::move(scan);
+  infra::request request = std::move(scan);
   const auto reply = co_await state_.platform.Send(std::move(request));
-  const auto* page = std::get_if<platform::rows_page>(&reply);
+  const auto* page = std::get_if<infra::rows_page>(&reply);
   if (!page) {
     co_return internal::Refused(result_code::store_unavailable, "");
   }
--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -21,7 +21,7 @@
 constexpr net::call_limits kLoadLimits{std::chrono::milliseconds(300),
                                        std::chrono::milliseconds(500)};
 
-std::string PoolName(const platform::vm& item) {
+std::string PoolName(const infra::vm& item) {
   return item.pool + kCentreMark + item.data_centre;
 }
 
@@ -133,7 +133,7 @@
 void pools::UpdateOwned() {
   std::map<std::string, std::set<std::string>> listed;
   for (const auto& item : state_.vms) {
-    if (item.role == platform::vm_role::entry) {
+    if (item.role == infra::vm_role::entry) {
       continue;
     }
     const auto name = internal::PoolName(item);
@@ -141,7 +141,7 @@
     if (found == owned_.end()) {
       continue;
     }
-    if (item.state == platform::vm_state::live) {
+    if (item.state == infra::vm_state::live) {
       listed[name].insert(item.id);
     }
     dispatch::upstream known;
@@ -149,7 +149,7 @@
     known.address = item.address;
     known.slots = item.slots;
     known.cheaper = item.cheaper;
-    known.leaving = item.state == platform::vm_state::leaving;
+    known.leaving = item.state == infra::vm_state::leaving;
     dispatch::SetUpstream(found->second.pool, known);
   }
   for (auto& [name, entry] : owned_) {
@@ -160,8 +160,8 @@
 std::vector<pools::choice> pools::Choices(const std::string& name) const {
   std::set<std::string> centres;
   for (const auto& item : state_.vms) {
-    if (item.pool == name && item.role != platform::vm_role::entry &&
-        item.state == platform::vm_state::live) {
+    if (item.pool == name && item.role != infra::vm_role::entry &&
+        item.state == infra::vm_state::live) {
       centres.insert(item.data_centre);
     }
   }
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -7,11 +7,12 @@
   out=$(mktemp -d)
   trap 'rm -rf "$out"' EXIT
 fi
-protoc --proto_path=src/wire --cpp_out="$out" peer.proto
+protoc --proto_path=src/wire --cpp_out="$out" peer.proto digest.proto
 if [ "${1:-}" = --check ]; then
-  diff -u src/wire/peer.pb.h "$out/peer.pb.h" >/dev/null &&
-    diff -u src/wire/peer.pb.cc "$out/peer.pb.cc" >/dev/null || {
-    echo "src/wire/peer.pb.* does not match peer.proto: run scripts/generate.sh" >&2
-    exit 1
-  }
+  for file in peer.pb.h peer.pb.cc digest.pb.h digest.pb.cc; do
+    if ! diff -q "src/wire/$file" "$out/$file" >/dev/null; then
+      echo "src/wire/$file does not match its .proto: run scripts/generate.sh" >&2
+      exit 1
+    fi
+  done
 fi
--- a/src/answer/answer.cc
+++ b/src/answer/answer.cc
@@ -77,4 +77,61 @@
   return true;
 }
 
+namespace internal {
+namespace {
+
+/** @brief Finds the end of the first whole event, behind its empty line. */
+std::size_t EndOfEvent(std::string_view text, std::size_t from) {
+  for (auto at = text.find('\n', from); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    if (at + 1 < text.size() && text[at + 1] == '\n') {
+      return at + 2;
+    }
+    if (text.substr(at + 1, 2) == "\r\n") {
+      return at + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
+void NoteId(event_framer& state, std::string_view event) {
+  constexpr std::string_view kName = "id:";
+  std::size_t line = 0;
+  while (line < event.size()) {
+    auto end = event.find('\n', line);
+    end = end == std::string_view::npos ? event.size() : end;
+    auto text = event.substr(line, end - line);
+    if (text.starts_with(kName)) {
+      text.remove_prefix(kName.size());
+      const auto first = text.find_first_not_of(' ');
+      const auto last = text.find_last_not_of(" \r");
+      state.last_id = first == std::string_view::npos
+                          ? std::string{}
+                          : std::string(text.substr(first, last - first + 1));
+    }
+    line = end + 1;
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+std::string TakeWholeEvents(event_framer& state, std::string_view bytes) {
+  const auto searched = state.rest.size() < 3 ? 0 : state.rest.size() - 3;
+  state.rest += bytes;
+  std::size_t taken = 0;
+  std::size_t from = searched;
+  for (auto end = internal::EndOfEvent(state.rest, from);
+       end != std::string::npos; end = internal::EndOfEvent(state.rest, from)) {
+    internal::NoteId(state,
+                     std::string_view(state.rest).substr(taken, end - taken));
+    ++state.events;
+    taken = end;
+    from = end;
+  }
+  std::string whole = state.rest.substr(0, taken);
+  state.rest.erase(0, taken);
+  return whole;
+}
+
 }  // namespace mimosadeck::answer
--- a/src/answer/answer.h
+++ b/src/answer/answer.h
@@ -81,6 +81,25 @@
 [[nodiscard]] std::vector<std::string> Split(event_splitter& state,
                                              std::string_view bytes);
 
+/**
+ * @brief Cuts a byte stream into whole server-sent events, unchanged.
+ *
+ * A stream that breaks off inside an event can then go on at another upstream
+ * without joining halves.
+ */
+struct event_framer {
+  /** Bytes of an event that has not ended. */
+  std::string rest;
+  /** Id of the last whole event; empty if none had one. */
+  std::string last_id;
+  /** Whole events seen. */
+  std::uint64_t events{};
+};
+
+/** @brief Takes bytes and returns those that belong to whole events. */
+[[nodiscard]] std::string TakeWholeEvents(event_framer& state,
+                                          std::string_view bytes);
+
 /**
  * @brief How far a request has gone towards an upstream, which decides what a
  * refusal may say.
--- a/src/base/digest.cc
+++ b/src/base/digest.cc
@@ -63,4 +63,33 @@
   return internal::ToHex(buffer);
 }
 
+std::string EncodeBase64(std::string_view bytes) {
+  std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  out.resize(static_cast<std::size_t>(size));
+  return out;
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  if (text.empty()) {
+    return std::string{};
+  }
+  std::string out(3 * (text.size() / 4) + 3, '\0');
+  const int size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (size < 0) {
+    return std::nullopt;
+  }
+  const std::size_t padding = text.ends_with("==")  ? 2
+                              : text.ends_with('=') ? 1
+                                                    : 0;
+  out.resize(static_cast<std::size_t>(size) - padding);
+  return out;
+}
+
 }  // namespace mimosadeck
--- a/src/base/digest.h
+++ b/src/base/digest.h
@@ -2,6 +2,7 @@
 #define BASE_DIGEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,6 +46,12 @@
  */
 [[nodiscard]] std::string RandomHex(std::size_t bytes);
 
+/** @brief Writes bytes as base64. */
+[[nodiscard]] std::string EncodeBase64(std::string_view bytes);
+
+/** @brief Reads base64. @return Nothing if the text is none. */
+[[nodiscard]] std::optional<std::string> DecodeBase64(std::string_view text);
+
 }  // namespace mimosadeck
 
 #endif  // BASE_DIGEST_H_
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -1,6 +1,8 @@
 #ifndef BASE_TIME_H_
 #define BASE_TIME_H_
 
+#include <ctime>
+
 #include <chrono>
 
 namespace mimosadeck {
@@ -15,6 +17,17 @@
  */
 using mono_duration = std::chrono::steady_clock::duration;
 
+/**
+ * @brief Returns the present time on a clock that also counts the time in which
+ * the VM was suspended.
+ */
+[[nodiscard]] inline mono_time SuspendAwareNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return mono_time(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /**
  * @brief Reading of the calendar clock, used for billing windows only.
  */
--- a/src/booking/shard.cc
+++ b/src/booking/shard.cc
@@ -6,14 +6,14 @@
 namespace internal {
 namespace {
 
-action Ask(shard& state, platform::request request) {
+action Ask(shard& state, infra::request request) {
   state.awaits_store = true;
   return store_request{std::move(request)};
 }
 
-platform::commit CommitRow(shard& state, const shard_row& next) {
+infra::commit CommitRow(shard& state, const shard_row& next) {
   state.proposed = next;
-  platform::commit out;
+  infra::commit out;
   out.conditions.push_back({ShardRowKey(state.number), state.row_version});
   out.writes.push_back({ShardRowKey(state.number), EncodeShardRow(next)});
   return out;
@@ -21,7 +21,7 @@
 
 action ReadRow(shard& state) {
   state.phase = shard_phase::reading;
-  return Ask(state, platform::read_row{ShardRowKey(state.number)});
+  return Ask(state, infra::read_row{ShardRowKey(state.number)});
 }
 
 void FailPending(shard& state, std::vector<action>& out) {
@@ -68,11 +68,11 @@
 }
 
 std::vector<action> OnRowRead(shard& state,
-                              const platform::reply& reply,
+                              const infra::reply& reply,
                               const departed_test& departed) {
   state.row = {};
   state.row_version = 0;
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     const auto decoded = DecodeShardRow(found->found.value);
     if (!decoded) {
       state.phase = shard_phase::idle;
@@ -80,7 +80,7 @@
     }
     state.row = *decoded;
     state.row_version = found->found.version;
-  } else if (!std::holds_alternative<platform::row_absent>(reply)) {
+  } else if (!std::holds_alternative<infra::row_absent>(reply)) {
     state.phase = shard_phase::idle;
     return {};
   }
@@ -93,8 +93,8 @@
 
 action ScanNext(shard& state, const options& settings) {
   return Ask(state,
-             platform::scan_rows{RecordPrefix(state.number), state.scan_after,
-                                 settings.records_per_scan});
+             infra::scan_rows{RecordPrefix(state.number), state.scan_after,
+                              settings.records_per_scan});
 }
 
 std::vector<action> StartCollecting(shard& state,
@@ -161,9 +161,9 @@
 
 std::vector<action> OnScanned(shard& state,
                               const options& settings,
-                              const platform::reply& reply,
+                              const infra::reply& reply,
                               mono_time now) {
-  const auto* page = std::get_if<platform::rows_page>(&reply);
+  const auto* page = std::get_if<infra::rows_page>(&reply);
   if (!page) {
     state.next_store = now + settings.retry_interval;
     return {};
@@ -255,12 +255,12 @@
 /** @brief Finds out what became of a commit whose reply was no clear word. */
 std::vector<action> OnRowVerified(shard& state,
                                   const options& settings,
-                                  const platform::reply& reply,
+                                  const infra::reply& reply,
                                   mono_time now) {
   std::vector<action> out;
-  const auto* found = std::get_if<platform::row_found>(&reply);
+  const auto* found = std::get_if<infra::row_found>(&reply);
   if (!found) {
-    if (std::holds_alternative<platform::row_absent>(reply)) {
+    if (std::holds_alternative<infra::row_absent>(reply)) {
       StepDown(state, out);
     }
     state.next_store = now + settings.retry_interval;
@@ -283,13 +283,13 @@
 
 std::vector<action> OnCommitReply(shard& state,
                                   const options& settings,
-                                  const platform::reply& reply,
+                                  const infra::reply& reply,
                                   mono_time now) {
-  if (const auto* done = std::get_if<platform::committed>(&reply)) {
+  if (const auto* done = std::get_if<infra::committed>(&reply)) {
     SettleRow(state, *state.proposed, done->version);
     return OnCommitted(state, settings, now);
   }
-  if (std::holds_alternative<platform::unavailable>(reply)) {
+  if (std::holds_alternative<infra::unavailable>(reply)) {
     state.next_store = now + settings.retry_interval;
     return {};
   }
@@ -298,7 +298,7 @@
     return {};
   }
   std::vector<action> out;
-  if (std::holds_alternative<platform::conflict>(reply)) {
+  if (std::holds_alternative<infra::conflict>(reply)) {
     StepDown(state, out);
   }
   state.next_store = now + settings.retry_interval;
@@ -386,7 +386,7 @@
   if (state.unsaved.empty() && !row_changes && !state.wants_release) {
     return {};
   }
-  std::vector<platform::write> writes;
+  std::vector<infra::write> writes;
   state.saving.clear();
   for (const auto& key : state.unsaved) {
     if (writes.size() >= settings.records_per_commit) {
@@ -430,7 +430,7 @@
 
 std::vector<action> OnStoreReply(shard& state,
                                  const options& settings,
-                                 const platform::reply& reply,
+                                 const infra::reply& reply,
                                  const departed_test& departed,
                                  mono_time now) {
   if (!state.awaits_store) {
@@ -581,7 +581,7 @@
       state.next_store = now + settings.save_interval;
       more = state.verifies_row
                  ? std::vector<action>{internal::Ask(
-                       state, platform::read_row{ShardRowKey(state.number)})}
+                       state, infra::read_row{ShardRowKey(state.number)})}
                  : internal::SaveNext(state, settings);
       break;
     case shard_phase::taking:
--- a/src/booking/shard.h
+++ b/src/booking/shard.h
@@ -14,7 +14,7 @@
 
 #include "base/time.h"
 #include "booking/record.h"
-#include "platform/platform.h"
+#include "infra/infra.h"
 
 namespace mimosadeck::booking {
 
@@ -69,7 +69,7 @@
 
 /** @brief Sends a request to the platform; one at a time for each shard. */
 struct store_request {
-  platform::request request;
+  infra::request request;
 };
 
 /** @brief What a shard's state machine asks its embedder to do. */
@@ -153,7 +153,7 @@
  */
 [[nodiscard]] std::vector<action> OnStoreReply(shard& state,
                                                const options& settings,
-                                               const platform::reply& reply,
+                                               const infra::reply& reply,
                                                const departed_test& departed,
                                                mono_time now);
 
--- a/src/config/replica.cc
+++ b/src/config/replica.cc
@@ -30,10 +30,9 @@
   return true;
 }
 
-platform::request ReadChanges(const replica& target) {
-  return platform::scan_rows{std::string(kChangePrefix),
-                             ChangeRow(target.current.version),
-                             kChangesPerRead};
+infra::request ReadChanges(const replica& target) {
+  return infra::scan_rows{std::string(kChangePrefix),
+                          ChangeRow(target.current.version), kChangesPerRead};
 }
 
 poll_step FinishIfCurrent(replica& target, poll& state, bool changed) {
@@ -54,15 +53,13 @@
   }
   if (target.current.version == 0) {
     state.reads_snapshot = true;
-    return platform::get_object{std::string(kSnapshotObject)};
+    return infra::get_object{std::string(kSnapshotObject)};
   }
   state.reads_changes = true;
   return ReadChanges(target);
 }
 
-poll_step OnPage(replica& target,
-                 poll& state,
-                 const platform::rows_page& page) {
+poll_step OnPage(replica& target, poll& state, const infra::rows_page& page) {
   bool changed = false;
   for (const auto& row : page.rows) {
     const auto decoded = DecodeChangeSet(row.value);
@@ -101,31 +98,29 @@
          std::string(digits.data(), static_cast<std::size_t>(size));
 }
 
-platform::request BeginPoll(poll& state, mono_time now) {
+infra::request BeginPoll(poll& state, mono_time now) {
   state = poll{};
   state.sent_at = now;
-  return platform::read_row{std::string(kHeadRow)};
+  return infra::read_row{std::string(kHeadRow)};
 }
 
-poll_step OnPollReply(replica& target,
-                      poll& state,
-                      const platform::reply& reply) {
-  if (const auto* page = std::get_if<platform::rows_page>(&reply)) {
+poll_step OnPollReply(replica& target, poll& state, const infra::reply& reply) {
+  if (const auto* page = std::get_if<infra::rows_page>(&reply)) {
     return internal::OnPage(target, state, *page);
   }
-  if (const auto* found = std::get_if<platform::object_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::object_found>(&reply)) {
     return internal::OnSnapshot(target, state, found->bytes);
   }
-  if (std::holds_alternative<platform::object_absent>(reply)) {
+  if (std::holds_alternative<infra::object_absent>(reply)) {
     state.reads_snapshot = false;
     state.reads_changes = true;
     return internal::ReadChanges(target);
   }
-  if (const auto* head = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* head = std::get_if<infra::row_found>(&reply)) {
     return internal::OnHead(target, state,
                             internal::ParseVersion(head->found.value));
   }
-  if (std::holds_alternative<platform::row_absent>(reply)) {
+  if (std::holds_alternative<infra::row_absent>(reply)) {
     return internal::OnHead(target, state, 0);
   }
   return poll_done{false, false};
@@ -178,17 +173,17 @@
   return out;
 }
 
-platform::request BeginEdit(edit& state) {
+infra::request BeginEdit(edit& state) {
   state.knows_head = false;
   state.reads_back = false;
-  return platform::read_row{std::string(kHeadRow)};
+  return infra::read_row{std::string(kHeadRow)};
 }
 
 namespace internal {
 namespace {
 
-platform::request CommitEdit(const edit& state) {
-  platform::commit out;
+infra::request CommitEdit(const edit& state) {
+  infra::commit out;
   out.conditions.push_back({std::string(kHeadRow), state.head_row_version});
   out.writes.push_back(
       {std::string(kHeadRow), std::to_string(state.proposed.version)});
@@ -208,8 +203,8 @@
   return CommitEdit(state);
 }
 
-edit_step OnReadBack(const edit& state, const platform::reply& reply) {
-  const auto* found = std::get_if<platform::row_found>(&reply);
+edit_step OnReadBack(const edit& state, const infra::reply& reply) {
+  const auto* found = std::get_if<infra::row_found>(&reply);
   if (!found) {
     return edit_lost{state.proposed.version};
   }
@@ -221,35 +216,35 @@
   return edit_lost{state.proposed.version};
 }
 
-platform::request LastRequest(const edit& state) {
+infra::request LastRequest(const edit& state) {
   if (state.reads_back) {
-    return platform::read_row{ChangeRow(state.proposed.version)};
+    return infra::read_row{ChangeRow(state.proposed.version)};
   }
   if (state.knows_head) {
     return CommitEdit(state);
   }
-  return platform::read_row{std::string(kHeadRow)};
+  return infra::read_row{std::string(kHeadRow)};
 }
 
 }  // namespace
 }  // namespace internal
 
-edit_step OnEditReply(edit& state, const platform::reply& reply) {
-  if (std::holds_alternative<platform::unavailable>(reply) ||
-      std::holds_alternative<platform::unknown_outcome>(reply)) {
+edit_step OnEditReply(edit& state, const infra::reply& reply) {
+  if (std::holds_alternative<infra::unavailable>(reply) ||
+      std::holds_alternative<infra::unknown_outcome>(reply)) {
     return edit_retry{internal::LastRequest(state)};
   }
   if (state.reads_back) {
     return internal::OnReadBack(state, reply);
   }
-  if (std::holds_alternative<platform::committed>(reply)) {
+  if (std::holds_alternative<infra::committed>(reply)) {
     return edit_accepted{state.proposed.version};
   }
-  if (std::holds_alternative<platform::conflict>(reply)) {
+  if (std::holds_alternative<infra::conflict>(reply)) {
     state.reads_back = true;
     return internal::LastRequest(state);
   }
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     return internal::OnEditHead(state,
                                 internal::ParseVersion(found->found.value),
                                 found->found.version);
--- a/src/config/replica.h
+++ b/src/config/replica.h
@@ -10,7 +10,7 @@
 
 #include "base/time.h"
 #include "config/document.h"
-#include "platform/platform.h"
+#include "infra/infra.h"
 
 namespace mimosadeck::config {
 
@@ -58,7 +58,7 @@
 };
 
 /** @brief The next request of a poll, or its end. */
-using poll_step = std::variant<platform::request, poll_done>;
+using poll_step = std::variant<infra::request, poll_done>;
 
 /**
  * @brief Starts a poll of the store.
@@ -66,7 +66,7 @@
  * @param now Time just before the request is sent.
  * @return The first request.
  */
-[[nodiscard]] platform::request BeginPoll(poll& state, mono_time now);
+[[nodiscard]] infra::request BeginPoll(poll& state, mono_time now);
 
 /**
  * @brief Takes the reply to a poll's last request.
@@ -80,7 +80,7 @@
  */
 [[nodiscard]] poll_step OnPollReply(replica& target,
                                     poll& state,
-                                    const platform::reply& reply);
+                                    const infra::reply& reply);
 
 /**
  * @brief Applies changes that a peer sent.
@@ -140,12 +140,12 @@
 };
 /** @brief The store answered nothing; the caller repeats the request. */
 struct edit_retry {
-  platform::request again;
+  infra::request again;
 };
 
 /** @brief The next request of an edit, a request to repeat, or its end. */
 using edit_step =
-    std::variant<platform::request, edit_retry, edit_accepted, edit_lost>;
+    std::variant<infra::request, edit_retry, edit_accepted, edit_lost>;
 
 /**
  * @brief Starts an edit.
@@ -153,7 +153,7 @@
  * version plus one.
  * @return The first request.
  */
-[[nodiscard]] platform::request BeginEdit(edit& state);
+[[nodiscard]] infra::request BeginEdit(edit& state);
 
 /**
  * @brief Takes the reply to an edit's last request.
@@ -163,7 +163,7 @@
  *
  * @return The next request, a request to repeat after a pause, or the end.
  */
-[[nodiscard]] edit_step OnEditReply(edit& state, const platform::reply& reply);
+[[nodiscard]] edit_step OnEditReply(edit& state, const infra::reply& reply);
 
 }  // namespace mimosadeck::config
 
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,114 @@
+#ifndef FLEET_FLEET_H_
+#define FLEET_FLEET_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "fleet/fwd.h"
+#include "wire/digest.pb.h"
+
+namespace mimosadeck::fleet {
+
+/** @brief Settings of the fleet's view. */
+struct options {
+  /** A member that was silent for so long gets no new callers: five digests. */
+  std::chrono::milliseconds live_for{800};
+  /** A silent member stays an answer of the directory while most are silent,
+   * since then this entry itself may be cut off. */
+  std::chrono::milliseconds remembered_for{15000};
+  /** A silent member's address is no longer sent digests. */
+  std::chrono::milliseconds forgotten_after{120000};
+};
+
+/** @brief Another entry, as its last digest describes it. */
+struct member {
+  wire::digest last;
+  /** `IP:PORT` from which its digests come. */
+  std::string peer_address;
+  mono_time heard_at;
+  /** Its calendar clock less ours, when its digest came. */
+  std::chrono::milliseconds clock_ahead{};
+};
+
+/** @brief All other entries, by name. */
+struct members {
+  std::map<std::string, member> by_name;
+};
+
+/**
+ * @brief Takes a digest; an older one, or one of an older incarnation, is
+ * dropped.
+ * @return False if it was dropped.
+ */
+bool OnDigest(members& state,
+              wire::digest received,
+              const std::string& peer_address,
+              wall_time wall,
+              mono_time now);
+
+/** @brief Drops members that were silent for long. */
+void Tick(members& state, const options& settings, mono_time now);
+
+/** @brief Tells whether a member was heard lately. */
+[[nodiscard]] bool IsLive(const member& of,
+                          const options& settings,
+                          mono_time now);
+
+/** @brief Returns the members heard lately that are not leaving. */
+[[nodiscard]] std::vector<const member*> Live(const members& state,
+                                              const options& settings,
+                                              mono_time now);
+
+/**
+ * @brief Returns how far this clock is behind the fleet's median clock.
+ *
+ * The median holds as long as most clocks are right.
+ */
+[[nodiscard]] std::chrono::milliseconds ClockCorrection(const members& state,
+                                                        const options& settings,
+                                                        mono_time now);
+
+/** @brief This entry, as the directory may list it. */
+struct self_entry {
+  std::string caller_address;
+  std::string data_centre;
+  bool ready{};
+};
+
+/**
+ * @brief Returns the addresses that a caller should use.
+ *
+ * Entries in the caller's data centre come alone if there are any; a single one
+ * is joined by others, so that its loss leaves a choice.
+ */
+[[nodiscard]] std::vector<std::string> AddressesFor(
+    const members& state,
+    const options& settings,
+    const self_entry& self,
+    std::string_view data_centre,
+    std::size_t most,
+    mono_time now);
+
+/** @brief Tells whether a live member says that it holds the lease. */
+[[nodiscard]] bool IsLeaseHeldElsewhere(const members& state,
+                                        const options& settings,
+                                        mono_time now);
+
+/**
+ * @brief Returns this entry's place among the live ones in the order in which
+ * they contend for the lease.
+ */
+[[nodiscard]] std::size_t ContentionRank(const members& state,
+                                         const options& settings,
+                                         std::string_view self,
+                                         mono_time now);
+
+}  // namespace mimosadeck::fleet
+
+#endif  // FLEET_FLEET_H_
--- /dev/null
+++ b/src/fleet/fwd.h
@@ -0,0 +1,12 @@
+#ifndef FLEET_FWD_H_
+#define FLEET_FWD_H_
+
+namespace mimosadeck::fleet {
+
+struct member;
+struct members;
+struct options;
+
+}  // namespace mimosadeck::fleet
+
+#endif  // FLEET_FWD_H_
--- /dev/null
+++ b/src/forwarding/forwarding.cc
@@ -0,0 +1,82 @@
+#include "forwarding/forwarding.h"
+
+namespace mimosadeck::forwarding {
+namespace internal {
+namespace {
+
+void Note(progress& state, attempt_end ended) {
+  switch (ended) {
+    case attempt_end::not_connected:
+      ++state.unconnected;
+      return;
+    case attempt_end::refused:
+      ++state.refusals;
+      return;
+    case attempt_end::broke_off:
+    case attempt_end::failed:
+      ++state.runs;
+      return;
+  }
+}
+
+progress After(progress state, attempt_end ended) {
+  Note(state, ended);
+  return state;
+}
+
+}  // namespace
+}  // namespace internal
+
+bool IsRepeatable(const routing::route& route) {
+  switch (route.kind) {
+    case routing::request_kind::idempotent:
+      return true;
+    case routing::request_kind::non_idempotent:
+      return false;
+    case routing::request_kind::stream:
+      return route.resumable;
+  }
+  return false;
+}
+
+bool MayRepeat(const progress& state,
+               const options& settings,
+               const routing::route& route,
+               attempt_end ended) {
+  const auto after = internal::After(state, ended);
+  switch (ended) {
+    case attempt_end::not_connected:
+      return after.unconnected < settings.most_unconnected;
+    case attempt_end::refused:
+      return after.refusals < settings.most_refusals;
+    case attempt_end::broke_off:
+    case attempt_end::failed:
+      return IsRepeatable(route) && after.runs < route.max_attempts;
+  }
+  return false;
+}
+
+next_step OnAttemptEnd(progress& state,
+                       const options& settings,
+                       const routing::route& route,
+                       attempt_end ended,
+                       bool covered) {
+  const bool again = covered && MayRepeat(state, settings, route, ended);
+  internal::Note(state, ended);
+  if (again) {
+    return next_step::send_again;
+  }
+  if (ended == attempt_end::failed && !state.answer_begun) {
+    return next_step::pass_failure_on;
+  }
+  return OnNothingLeft(state);
+}
+
+next_step OnNothingLeft(const progress& state) {
+  if (state.answer_begun) {
+    return next_step::cut_off;
+  }
+  return state.runs == 0 ? next_step::refuse_not_run : next_step::fail_unknown;
+}
+
+}  // namespace mimosadeck::forwarding
--- /dev/null
+++ b/src/forwarding/fwd.h
@@ -0,0 +1,12 @@
+#ifndef FORWARDING_FWD_H_
+#define FORWARDING_FWD_H_
+
+namespace mimosadeck::forwarding {
+
+enum class attempt_end;
+enum class next_step;
+struct progress;
+
+}  // namespace mimosadeck::forwarding
+
+#endif  // FORWARDING_FWD_H_
--- a/src/platform/json_codec.cc
+++ b/src/infra/json_codec.cc
@@ -1,8 +1,8 @@
-#include "platform/json_codec.h"
+#include "infra/json_codec.h"
 
 #include <boost/json.hpp>
 
-namespace mimosadeck::platform {
+namespace mimosadeck::infra {
 namespace internal {
 namespace {
 
@@ -352,4 +352,4 @@
   return internal::Decode<reply>(text, internal::DecodeReplyObject);
 }
 
-}  // namespace mimosadeck::platform
+}  // namespace mimosadeck::infra
--- a/src/platform/json_codec.h
+++ b/src/infra/json_codec.h
@@ -1,13 +1,13 @@
-#ifndef PLATFORM_JSON_CODEC_H_
-#define PLATFORM_JSON_CODEC_H_
+#ifndef INFRA_JSON_CODEC_H_
+#define INFRA_JSON_CODEC_H_
 
 #include <string>
 #include <string_view>
 
 #include "base/result.h"
-#include "platform/types.h"
+#include "infra/types.h"
 
-namespace mimosadeck::platform {
+namespace mimosadeck::infra {
 
 /**
  * @brief Writes a request as the JSON body of the platform's HTTP interface.
@@ -37,6 +37,6 @@
  */
 [[nodiscard]] result<reply> DecodeReply(std::string_view text);
 
-}  // namespace mimosadeck::platform
+}  // namespace mimosadeck::infra
 
-#endif  // PLATFORM_JSON_CODEC_H_
+#endif  // INFRA_JSON_CODEC_H_
--- a/src/platform/types.h
+++ b/src/infra/types.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_TYPES_H_
-#define PLATFORM_TYPES_H_
+#ifndef INFRA_TYPES_H_
+#define INFRA_TYPES_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-namespace mimosadeck::platform {
+namespace mimosadeck::infra {
 
 /**
  * @brief One row of the table service.
@@ -215,6 +215,6 @@
                            unavailable,
                            unknown_outcome>;
 
-}  // namespace mimosadeck::platform
+}  // namespace mimosadeck::infra
 
-#endif  // PLATFORM_TYPES_H_
+#endif  // INFRA_TYPES_H_
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -13,11 +13,11 @@
   state.proposed.reset();
 }
 
-platform::request Commit(contender& state,
-                         const options& settings,
-                         const record& proposed) {
+infra::request Commit(contender& state,
+                      const options& settings,
+                      const record& proposed) {
   state.proposed = proposed;
-  platform::commit out;
+  infra::commit out;
   out.conditions.push_back({RowKey(settings.name), state.row_version});
   out.writes.push_back({RowKey(settings.name), EncodeRecord(proposed)});
   return out;
@@ -40,13 +40,13 @@
   return silent && holder_departed;
 }
 
-std::optional<platform::request> TickHolder(contender& state,
-                                            const options& settings,
-                                            mono_time now) {
+std::optional<infra::request> TickHolder(contender& state,
+                                         const options& settings,
+                                         mono_time now) {
   if (now >= state.held_until) {
     BecomeFollower(state);
     state.seen_since = now;
-    return platform::read_row{RowKey(settings.name)};
+    return infra::read_row{RowKey(settings.name)};
   }
   record next = *state.seen;
   ++next.counter;
@@ -57,16 +57,16 @@
   return Commit(state, settings, next);
 }
 
-std::optional<platform::request> TickFollower(contender& state,
-                                              const options& settings,
-                                              mono_time now,
-                                              bool holder_departed) {
+std::optional<infra::request> TickFollower(contender& state,
+                                           const options& settings,
+                                           mono_time now,
+                                           bool holder_departed) {
   if (state.wants_release) {
     state.stopped = true;
     return std::nullopt;
   }
   if (!state.observed || !MayTakeOver(state, settings, now, holder_departed)) {
-    return platform::read_row{RowKey(settings.name)};
+    return infra::read_row{RowKey(settings.name)};
   }
   record next;
   next.holder = state.self;
@@ -107,10 +107,10 @@
 }  // namespace
 }  // namespace internal
 
-std::optional<platform::request> Tick(contender& state,
-                                      const options& settings,
-                                      mono_time now,
-                                      bool holder_departed) {
+std::optional<infra::request> Tick(contender& state,
+                                   const options& settings,
+                                   mono_time now,
+                                   bool holder_departed) {
   if (state.awaits_reply || state.stopped ||
       (now < state.next_action && !state.wants_release)) {
     return std::nullopt;
@@ -128,17 +128,17 @@
 
 void OnReply(contender& state,
              const options& settings,
-             const platform::reply& reply,
+             const infra::reply& reply,
              mono_time now) {
   state.awaits_reply = false;
   state.next_action = now + settings.retry_interval;
-  if (const auto* done = std::get_if<platform::committed>(&reply);
+  if (const auto* done = std::get_if<infra::committed>(&reply);
       done && state.proposed) {
     internal::OnCommitted(state, settings, done->version, now);
     state.next_action = state.sent_at + settings.renew_interval;
     return;
   }
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     internal::Observe(state, DecodeRecord(found->found.value),
                       found->found.version, now);
     if (state.seen && state.seen->released) {
@@ -146,15 +146,15 @@
     }
     return;
   }
-  if (std::holds_alternative<platform::row_absent>(reply)) {
+  if (std::holds_alternative<infra::row_absent>(reply)) {
     internal::Observe(state, std::nullopt, 0, now);
     state.next_action = now;
     return;
   }
-  if (std::holds_alternative<platform::conflict>(reply)) {
+  if (std::holds_alternative<infra::conflict>(reply)) {
     internal::BecomeFollower(state);
     state.seen_since = now;
-    state.row_version = std::get<platform::conflict>(reply).version;
+    state.row_version = std::get<infra::conflict>(reply).version;
     state.seen =
         record{"unread", state.seen ? state.seen->fencing : 0, 0, false};
     state.next_action = now;
@@ -167,8 +167,8 @@
   return state.current == role::holder && now < state.held_until;
 }
 
-platform::condition FencingCondition(const contender& state,
-                                     const options& settings) {
+infra::condition FencingCondition(const contender& state,
+                                  const options& settings) {
   return {RowKey(settings.name), state.row_version};
 }
 
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "infra/infra.h"
 #include "lease/fwd.h"
-#include "platform/platform.h"
 
 namespace mimosadeck::lease {
 
@@ -84,10 +84,10 @@
  * list, or an operator said that it is gone.
  * @return A request to send, if one is due and none is outstanding.
  */
-[[nodiscard]] std::optional<platform::request> Tick(contender& state,
-                                                    const options& settings,
-                                                    mono_time now,
-                                                    bool holder_departed);
+[[nodiscard]] std::optional<infra::request> Tick(contender& state,
+                                                 const options& settings,
+                                                 mono_time now,
+                                                 bool holder_departed);
 
 /**
  * @brief Takes the reply to the request that Tick returned last.
@@ -95,7 +95,7 @@
  */
 void OnReply(contender& state,
              const options& settings,
-             const platform::reply& reply,
+             const infra::reply& reply,
              mono_time now);
 
 /**
@@ -109,8 +109,8 @@
  * @brief Returns the condition that ties a write to this holding.
  * @return Condition on the lease row; it fails once another holder took over.
  */
-[[nodiscard]] platform::condition FencingCondition(const contender& state,
-                                                   const options& settings);
+[[nodiscard]] infra::condition FencingCondition(const contender& state,
+                                                const options& settings);
 
 /**
  * @brief Asks to give the lease up and not to contend again.
--- /dev/null
+++ b/src/metering/fwd.h
@@ -0,0 +1,10 @@
+#ifndef METERING_FWD_H_
+#define METERING_FWD_H_
+
+namespace mimosadeck::metering {
+
+struct tally;
+
+}  // namespace mimosadeck::metering
+
+#endif  // METERING_FWD_H_
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -6,7 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace mimosadeck::net::internal {
+namespace mimosadeck::net {
 
 /**
  * @brief Reads `IP:PORT`; IPv6 addresses stand in brackets.
@@ -40,6 +40,6 @@
                                     : host + ":" + port;
 }
 
-}  // namespace mimosadeck::net::internal
+}  // namespace mimosadeck::net
 
 #endif  // NET_ADDRESS_H_
--- a/src/net/fwd.h
+++ b/src/net/fwd.h
@@ -7,6 +7,8 @@
 struct http_response;
 class exchange;
 class http_server;
+class connection_cache;
+class http_call;
 class http_client;
 class http_stream;
 class peer_link;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -11,11 +11,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "net/address.h"
+#include "net/socket_options.h"
 
 namespace mimosadeck::net {
 
@@ -31,7 +34,11 @@
 constexpr int kMalformed = 400;
 constexpr int kTooLarge = 413;
 constexpr int kTimeout = 408;
-constexpr std::uint32_t kHeaderLimitBytes = 16U * 1024U;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kContinue = 100;
+/** Bytes of later requests that are read while one is being answered. */
+constexpr std::size_t kReadAheadBytes = 64U * 1024U;
+constexpr std::size_t kReadAheadStepBytes = 4096;
 constexpr std::size_t kDiscardBytes = 64U * 1024U;
 constexpr std::chrono::milliseconds kDiscardTime{2000};
 
@@ -64,20 +71,19 @@
  public:
   connection(tcp::socket socket, const server_options& settings)
       : stream_(std::move(socket)), settings_(settings) {
-    error_code ignored;
-    stream_.socket().set_option(tcp::no_delay(true), ignored);
+    DetectSilence(stream_.socket());
   }
 
   asio::awaitable<void> Run(http_handler handler,
                             std::atomic<std::size_t>& active,
-                            std::atomic<bool>& stopping) {
-    beast::flat_buffer buffer;
+                            std::atomic<bool>& stopping,
+                            std::atomic<bool>& closing) {
     while (!closed_ && !stopping) {
-      auto request = co_await Read(buffer);
+      auto request = co_await Read();
       if (!request) {
         break;
       }
-      keep_alive_ = request->keep_alive();
+      keep_alive_ = request->keep_alive() && !closing;
       started_ = false;
       ++active;
       try {
@@ -114,7 +120,7 @@
     out.keep_alive(keep_alive_);
     out.prepare_payload();
     error_code failure;
-    stream_.expires_after(settings_.request_timeout);
+    stream_.expires_after(limits_.body_timeout);
     co_await http::async_write(
         stream_, out, asio::redirect_error(asio::use_awaitable, failure));
     co_return Keep(failure);
@@ -131,7 +137,7 @@
     out.chunked(true);
     http::response_serializer<http::empty_body> serializer{out};
     error_code failure;
-    stream_.expires_after(settings_.request_timeout);
+    stream_.expires_after(limits_.body_timeout);
     co_await http::async_write_header(
         stream_, serializer,
         asio::redirect_error(asio::use_awaitable, failure));
@@ -143,7 +149,7 @@
       co_return false;
     }
     error_code failure;
-    stream_.expires_after(settings_.request_timeout);
+    stream_.expires_after(limits_.body_timeout);
     co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(bytes)),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -155,7 +161,7 @@
       co_return false;
     }
     error_code failure;
-    stream_.expires_after(settings_.request_timeout);
+    stream_.expires_after(limits_.body_timeout);
     co_await asio::async_write(
         stream_, http::make_chunk_last(),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -167,15 +173,7 @@
   void WatchCaller(std::function<void()> on_gone) override {
     StopWatching();
     watch_ = std::make_shared<asio::cancellation_signal>();
-    stream_.socket().async_wait(
-        tcp::socket::wait_read,
-        asio::bind_cancellation_slot(
-            watch_->slot(), [self = shared_from_this(), watch = watch_,
-                             on_gone = std::move(on_gone)](error_code failure) {
-              if (!failure && self->watch_ == watch && self->IsHungUp()) {
-                on_gone();
-              }
-            }));
+    Watch(watch_, std::move(on_gone));
   }
 
   [[nodiscard]] bool HasStarted() const override { return started_; }
@@ -183,27 +181,45 @@
  private:
   static constexpr unsigned kHttpVersion = 11;
 
-  asio::awaitable<std::optional<http::request<http::string_body>>> Read(
-      beast::flat_buffer& buffer) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(settings_.body_limit_bytes);
-    parser.header_limit(kHeaderLimitBytes);
+  using parser_type = http::request_parser<http::string_body>;
+
+  /** @brief Waits for the first byte of the next request. */
+  asio::awaitable<bool> WaitForRequest() {
+    if (buffer_.size() > 0) {
+      co_return true;
+    }
     error_code failure;
     reading_ = true;
-    if (buffer.size() == 0) {
-      stream_.expires_after(settings_.idle_timeout);
-      co_await stream_.socket().async_wait(
-          tcp::socket::wait_read,
-          asio::redirect_error(asio::use_awaitable, failure));
-    }
+    stream_.expires_after(limits_.idle_timeout);
+    const auto read = co_await stream_.async_read_some(
+        buffer_.prepare(kReadAheadStepBytes),
+        asio::redirect_error(asio::use_awaitable, failure));
     reading_ = false;
-    if (failure || closed_) {
+    buffer_.commit(read);
+    co_return !failure && !closed_;
+  }
+
+  asio::awaitable<std::optional<http::request<http::string_body>>> Read() {
+    limits_ = CurrentLimits();
+    const bool came = co_await WaitForRequest();
+    if (!came) {
       co_return std::nullopt;
     }
-    stream_.expires_after(settings_.request_timeout);
-    co_await http::async_read(
-        stream_, buffer, parser,
+    limits_ = CurrentLimits();
+    parser_type parser;
+    parser.body_limit(limits_.body_limit_bytes);
+    parser.header_limit(limits_.header_limit_bytes);
+    error_code failure;
+    stream_.expires_after(limits_.header_timeout);
+    co_await http::async_read_header(
+        stream_, buffer_, parser,
         asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && !IsFramingClear(parser.get())) {
+      failure = http::error::bad_transfer_encoding;
+    }
+    if (!failure) {
+      failure = co_await ReadRest(parser);
+    }
     if (!failure) {
       co_return parser.release();
     }
@@ -213,6 +229,45 @@
     co_return std::nullopt;
   }
 
+  asio::awaitable<error_code> ReadRest(parser_type& parser) {
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    if (parser.get().find(http::field::expect) != parser.get().end()) {
+      const http::response<http::empty_body> go_on{
+          static_cast<http::status>(kContinue), kHttpVersion};
+      co_await http::async_write(
+          stream_, go_on, asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return failure;
+      }
+    }
+    co_await http::async_read(
+        stream_, buffer_, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+  }
+
+  /** @brief Tells whether two readers must agree where the request ends. */
+  static bool IsFramingClear(const http::request<http::string_body>& head) {
+    const auto codings = head.equal_range(http::field::transfer_encoding);
+    const auto hosts = head.equal_range(http::field::host);
+    if (hosts.first == hosts.second || std::next(hosts.first) != hosts.second) {
+      return false;
+    }
+    if (codings.first == codings.second) {
+      return true;
+    }
+    return std::next(codings.first) == codings.second &&
+           beast::iequals(codings.first->value(), "chunked") &&
+           head.find(http::field::content_length) == head.end() &&
+           head.version() == kHttpVersion;
+  }
+
+  [[nodiscard]] connection_limits CurrentLimits() const {
+    return settings_.current_limits ? settings_.current_limits()
+                                    : settings_.limits;
+  }
+
   asio::awaitable<void> Refuse(error_code failure) {
     if (!settings_.refuse) {
       co_return;
@@ -220,6 +275,8 @@
     int status = kMalformed;
     if (failure == http::error::body_limit) {
       status = kTooLarge;
+    } else if (failure == http::error::header_limit) {
+      status = kHeaderTooLarge;
     } else if (failure == beast::error::timeout) {
       status = kTimeout;
     } else if (failure.category() !=
@@ -255,12 +312,30 @@
     return true;
   }
 
-  [[nodiscard]] bool IsHungUp() {
-    char byte = 0;
+  void Watch(const std::shared_ptr<asio::cancellation_signal>& watch,
+             std::function<void()> on_gone) {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(
+            watch->slot(), [self = shared_from_this(), watch,
+                            on_gone = std::move(on_gone)](error_code failure) {
+              if (failure || self->watch_ != watch) {
+                return;
+              }
+              if (self->ReadAhead()) {
+                on_gone();
+              } else if (self->buffer_.size() < kReadAheadBytes) {
+                self->Watch(watch, on_gone);
+              }
+            }));
+  }
+
+  /** @brief Reads bytes of later requests. @return True if the caller left. */
+  [[nodiscard]] bool ReadAhead() {
     error_code failure;
     stream_.socket().non_blocking(true, failure);
     const auto size = stream_.socket().receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+        asio::buffer(buffer_.prepare(kReadAheadStepBytes)), 0, failure);
     if (failure == asio::error::would_block) {
       return false;
     }
@@ -268,6 +343,7 @@
       closed_ = true;
       return true;
     }
+    buffer_.commit(size);
     return false;
   }
 
@@ -288,7 +364,9 @@
   }
 
   beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
   const server_options& settings_;
+  connection_limits limits_;
   std::shared_ptr<asio::cancellation_signal> watch_;
   bool keep_alive_{true};
   bool started_{false};
@@ -296,9 +374,13 @@
   bool reading_{false};
 };
 
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
 }  // namespace
 }  // namespace internal
 
+using internal::kAcceptPause;
+
 struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
   impl(std::vector<asio::io_context*> contexts,
        server_options settings,
@@ -310,6 +392,7 @@
 
   static asio::awaitable<void> Accept(std::shared_ptr<impl> self) {
     std::size_t next = 0;
+    asio::steady_timer pause(co_await asio::this_coro::executor);
     while (!self->stopping) {
       auto& context = *self->contexts[next++ % self->contexts.size()];
       error_code failure;
@@ -320,6 +403,10 @@
         if (self->stopping) {
           break;
         }
+        // Out of descriptors: wait for connections to close.
+        pause.expires_after(kAcceptPause);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
         continue;
       }
       auto made = std::make_shared<internal::connection>(std::move(socket),
@@ -328,7 +415,8 @@
       asio::co_spawn(
           context,
           [self, made]() -> asio::awaitable<void> {
-            co_await made->Run(self->handler, self->active, self->stopping);
+            co_await made->Run(self->handler, self->active, self->stopping,
+                               self->closing);
             self->Forget(made);
           },
           asio::detached);
@@ -352,6 +440,7 @@
   tcp::acceptor acceptor;
   std::atomic<std::size_t> active{0};
   std::atomic<bool> stopping{false};
+  std::atomic<bool> closing{false};
   std::mutex mutex;
   std::map<std::shared_ptr<internal::connection>, asio::io_context*> open;
 };
@@ -363,7 +452,7 @@
     : impl_(std::make_shared<impl>(std::move(contexts),
                                    std::move(settings),
                                    std::move(handler))) {
-  const auto endpoint = internal::ParseEndpoint(address);
+  const auto endpoint = ParseEndpoint(address);
   impl_->acceptor.open(endpoint.protocol());
   impl_->acceptor.set_option(tcp::acceptor::reuse_address(true));
   impl_->acceptor.bind(endpoint);
@@ -376,7 +465,11 @@
 }
 
 std::string http_server::Address() const {
-  return internal::FormatEndpoint(impl_->acceptor.local_endpoint());
+  return FormatEndpoint(impl_->acceptor.local_endpoint());
+}
+
+void http_server::CloseAfterResponses() {
+  impl_->closing = true;
 }
 
 void http_server::StopAccepting() {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -52,12 +52,23 @@
 using http_handler =
     std::function<boost::asio::awaitable<void>(http_request, exchange&)>;
 
-/** @brief Settings of a server. */
-struct server_options {
+/** @brief What a caller may send, and how long it may take. */
+struct connection_limits {
+  std::uint32_t header_limit_bytes{16U * 1024U};
   std::uint64_t body_limit_bytes{1U << 20U};
-  /** A connection that takes longer to send a request is dropped. */
-  std::chrono::milliseconds request_timeout{10000};
+  /** A connection that takes longer to send a header is dropped. */
+  std::chrono::milliseconds header_timeout{10000};
+  /** A connection that takes longer to send a body, or to take a piece of a
+   * response, is dropped. */
+  std::chrono::milliseconds body_timeout{10000};
   std::chrono::milliseconds idle_timeout{60000};
+};
+
+/** @brief Settings of a server. */
+struct server_options {
+  connection_limits limits;
+  /** Replaces `limits` for each request, where limits change at run time. */
+  std::function<connection_limits()> current_limits;
   /** Builds the body of an error that the server itself finds. */
   std::function<http_response(int code, const std::string& message)> refuse;
 };
@@ -85,6 +96,9 @@
   /** @brief Returns the address in use, as `IP:PORT`. */
   [[nodiscard]] std::string Address() const;
 
+  /** @brief Makes each connection close after its next response. */
+  void CloseAfterResponses();
+
   /** @brief Takes no more connections and closes those that are idle. */
   void StopAccepting();
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -2,6 +2,7 @@
 #define NET_NET_H_
 
 #include "net/fwd.h"
+#include "net/http_call.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/http_types.h"
--- /dev/null
+++ b/src/net/socket_options.h
@@ -0,0 +1,40 @@
+#ifndef NET_SOCKET_OPTIONS_H_
+#define NET_SOCKET_OPTIONS_H_
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace mimosadeck::net::internal {
+
+/** Longest time that sent bytes stay unacknowledged: a few retransmissions. */
+inline constexpr int kUnackedMs = 3000;
+/** Idle time before the first keep-alive probe. */
+inline constexpr int kKeepAliveIdleS = 1;
+/** Time between keep-alive probes. */
+inline constexpr int kKeepAliveIntervalS = 1;
+/** Probes without an answer after which the peer counts as gone. */
+inline constexpr int kKeepAliveProbes = 2;
+
+/** @brief Makes a silent peer fail the connection within a few seconds. */
+inline void DetectSilence(boost::asio::ip::tcp::socket& socket) {
+  namespace detail = boost::asio::detail::socket_option;
+  using boost::asio::ip::tcp;
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(tcp::socket::keep_alive(true), ignored);
+  socket.set_option(detail::integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleS),
+                    ignored);
+  socket.set_option(
+      detail::integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalS),
+      ignored);
+  socket.set_option(detail::integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
+                    ignored);
+  socket.set_option(detail::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnackedMs),
+                    ignored);
+}
+
+}  // namespace mimosadeck::net::internal
+
+#endif  // NET_SOCKET_OPTIONS_H_
--- a/src/orders/orders.cc
+++ b/src/orders/orders.cc
@@ -6,33 +6,33 @@
 namespace internal {
 namespace {
 
-std::string IntentRow(const platform::place_order& order) {
+std::string IntentRow(const infra::place_order& order) {
   return IntentPrefix(order.data_centre) + order.order_id;
 }
 
 action Scan(book& state, const options& settings) {
   state.step = phase::scanning;
   state.open.clear();
-  return platform::request{platform::scan_rows{IntentPrefix(state.data_centre),
-                                               IntentPrefix(state.data_centre),
-                                               settings.intents_per_scan}};
+  return infra::request{infra::scan_rows{IntentPrefix(state.data_centre),
+                                         IntentPrefix(state.data_centre),
+                                         settings.intents_per_scan}};
 }
 
-action WriteIntent(book& state, const platform::condition& lease) {
+action WriteIntent(book& state, const infra::condition& lease) {
   state.step = phase::intending;
-  platform::commit out;
+  infra::commit out;
   out.conditions.push_back(lease);
   out.writes.push_back(
       {IntentRow(*state.current), EncodeIntent(*state.current)});
-  return platform::request{out};
+  return infra::request{out};
 }
 
-action StrikeOut(book& state, const platform::condition& lease) {
+action StrikeOut(book& state, const infra::condition& lease) {
   state.step = phase::finishing;
-  platform::commit out;
+  infra::commit out;
   out.conditions.push_back(lease);
   out.writes.push_back({IntentRow(*state.current), std::nullopt});
-  return platform::request{out};
+  return infra::request{out};
 }
 
 action Send(book& state) {
@@ -41,22 +41,22 @@
   return send_order{*state.current};
 }
 
-std::optional<platform::place_order> NextOrder(book& state,
-                                               const counts& seen,
-                                               mono_time now) {
+std::optional<infra::place_order> NextOrder(book& state,
+                                            const counts& seen,
+                                            mono_time now) {
   for (const auto& [key, count] : seen) {
     const auto settled = state.settled_until.find(key);
     if (count.wanted == count.running ||
         (settled != state.settled_until.end() && now < settled->second)) {
       continue;
     }
-    platform::place_order out;
+    infra::place_order out;
     out.data_centre = state.data_centre;
     out.fencing = state.fencing;
     out.order_id = std::to_string(state.fencing) + "-" +
                    std::to_string(++state.next_number);
-    out.kind = count.wanted > count.running ? platform::order_kind::start
-                                            : platform::order_kind::stop;
+    out.kind = count.wanted > count.running ? infra::order_kind::start
+                                            : infra::order_kind::stop;
     out.pool = key.pool;
     out.cheaper = key.cheaper;
     out.count = count.wanted > count.running ? count.wanted - count.running
@@ -73,10 +73,10 @@
 
 action OnScanned(book& state,
                  const options& settings,
-                 const platform::reply& reply,
+                 const infra::reply& reply,
                  mono_time now) {
   Rest(state, settings, now);
-  const auto* page = std::get_if<platform::rows_page>(&reply);
+  const auto* page = std::get_if<infra::rows_page>(&reply);
   if (!page) {
     return {};
   }
@@ -92,12 +92,11 @@
 
 action OnOrdered(book& state,
                  const options& settings,
-                 const platform::reply& reply,
-                 const platform::condition& lease,
+                 const infra::reply& reply,
+                 const infra::condition& lease,
                  mono_time now) {
-  const bool answered =
-      std::holds_alternative<platform::order_accepted>(reply) ||
-      std::holds_alternative<platform::order_refused>(reply);
+  const bool answered = std::holds_alternative<infra::order_accepted>(reply) ||
+                        std::holds_alternative<infra::order_refused>(reply);
   if (!answered) {
     Rest(state, settings, now);
     return {};
@@ -126,7 +125,7 @@
 
 action Tick(book& state,
             const options& settings,
-            const platform::condition& lease,
+            const infra::condition& lease,
             const counts& seen,
             mono_time now) {
   if (state.step != phase::idle || now < state.next_action) {
@@ -158,14 +157,14 @@
 
 action OnReply(book& state,
                const options& settings,
-               const platform::reply& reply,
-               const platform::condition& lease,
+               const infra::reply& reply,
+               const infra::condition& lease,
                mono_time now) {
   switch (state.step) {
     case phase::scanning:
       return internal::OnScanned(state, settings, reply, now);
     case phase::intending:
-      if (std::holds_alternative<platform::committed>(reply)) {
+      if (std::holds_alternative<infra::committed>(reply)) {
         state.current_is_written = true;
         return internal::Send(state);
       }
@@ -176,7 +175,7 @@
     case phase::finishing:
       state.current.reset();
       internal::Rest(state, settings, now);
-      if (!std::holds_alternative<platform::committed>(reply)) {
+      if (!std::holds_alternative<infra::committed>(reply)) {
         state.scanned = false;
       }
       return {};
@@ -190,17 +189,17 @@
   state.step = phase::idle;
 }
 
-std::string EncodeIntent(const platform::place_order& value) {
-  return platform::EncodeRequest(value);
+std::string EncodeIntent(const infra::place_order& value) {
+  return infra::EncodeRequest(value);
 }
 
-std::optional<platform::place_order> DecodeIntent(std::string_view text) {
-  const auto decoded = platform::DecodeRequest(text);
+std::optional<infra::place_order> DecodeIntent(std::string_view text) {
+  const auto decoded = infra::DecodeRequest(text);
   if (!IsOk(decoded)) {
     return std::nullopt;
   }
   const auto* order =
-      std::get_if<platform::place_order>(&std::get<platform::request>(decoded));
+      std::get_if<infra::place_order>(&std::get<infra::request>(decoded));
   return order ? std::optional(*order) : std::nullopt;
 }
 
--- a/src/orders/orders.h
+++ b/src/orders/orders.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/platform.h"
+#include "infra/infra.h"
 
 namespace mimosadeck::orders {
 
@@ -64,8 +64,8 @@
   bool scanned{};
   std::uint64_t fencing{};
   std::uint64_t next_number{};
-  std::vector<platform::place_order> open;
-  std::optional<platform::place_order> current;
+  std::vector<infra::place_order> open;
+  std::optional<infra::place_order> current;
   bool current_is_written{};
   std::map<kind_key, mono_time> settled_until;
   mono_time next_action;
@@ -74,11 +74,11 @@
 
 /** @brief An order may be sent only while the lease is held: check now. */
 struct send_order {
-  platform::place_order order;
+  infra::place_order order;
 };
 
 /** @brief The next request of a round; nothing if there is none now. */
-using action = std::variant<std::monostate, platform::request, send_order>;
+using action = std::variant<std::monostate, infra::request, send_order>;
 
 /**
  * @brief Starts over under a new holding of the lease.
@@ -98,25 +98,25 @@
  */
 [[nodiscard]] action Tick(book& state,
                           const options& settings,
-                          const platform::condition& lease,
+                          const infra::condition& lease,
                           const counts& seen,
                           mono_time now);
 
 /** @brief Takes the reply to the last request. */
 [[nodiscard]] action OnReply(book& state,
                              const options& settings,
-                             const platform::reply& reply,
-                             const platform::condition& lease,
+                             const infra::reply& reply,
+                             const infra::condition& lease,
                              mono_time now);
 
 /** @brief Takes note that an order was not sent, as the lease had lapsed. */
 void OnNotSent(book& state);
 
 /** @brief Writes an order as JSON, for its intent row. */
-[[nodiscard]] std::string EncodeIntent(const platform::place_order& value);
+[[nodiscard]] std::string EncodeIntent(const infra::place_order& value);
 
 /** @brief Reads an intent; nothing if the text is not one. */
-[[nodiscard]] std::optional<platform::place_order> DecodeIntent(
+[[nodiscard]] std::optional<infra::place_order> DecodeIntent(
     std::string_view text);
 
 /** @brief Returns the prefix of a data centre's intent rows. */
--- /dev/null
+++ b/src/outlier/outlier.cc
@@ -0,0 +1,46 @@
+#include "outlier/outlier.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mimosadeck::outlier {
+
+void OnOutcome(record& state,
+               const options& settings,
+               outcome seen,
+               mono_time now) {
+  const double bad = seen == outcome::served ? 0 : 1;
+  const double before = FailureRate(state, settings, now);
+  state.failure_rate = before + settings.newest_weight * (bad - before);
+  state.rated_at = now;
+  if (seen != outcome::unreachable) {
+    state.unreachable_in_row = 0;
+    return;
+  }
+  // Requests that were sent together fail together and count once.
+  if (now < state.ejected_until) {
+    return;
+  }
+  auto ejection = settings.first_ejection;
+  for (std::uint32_t i = 0;
+       i < state.unreachable_in_row && ejection < settings.longest_ejection;
+       ++i) {
+    ejection *= 2;
+  }
+  ++state.unreachable_in_row;
+  state.ejected_until = now + std::min(ejection, settings.longest_ejection);
+}
+
+bool IsEjected(const record& state, mono_time now) {
+  return now < state.ejected_until;
+}
+
+double FailureRate(const record& state,
+                   const options& settings,
+                   mono_time now) {
+  const std::chrono::duration<double> age = now - state.rated_at;
+  const std::chrono::duration<double> half_life = settings.half_life;
+  return state.failure_rate * std::exp2(-age / half_life);
+}
+
+}  // namespace mimosadeck::outlier
--- /dev/null
+++ b/src/placement/fwd.h
@@ -0,0 +1,14 @@
+#ifndef PLACEMENT_FWD_H_
+#define PLACEMENT_FWD_H_
+
+namespace mimosadeck::placement {
+
+struct job;
+struct load;
+struct options;
+struct pool;
+struct ticket;
+
+}  // namespace mimosadeck::placement
+
+#endif  // PLACEMENT_FWD_H_
--- a/src/telemetry/telemetry.h
+++ b/src/telemetry/telemetry.h
@@ -19,15 +19,24 @@
 using fields =
     std::initializer_list<std::pair<std::string_view, std::string_view>>;
 
+/** @brief Where log lines go. */
+enum class log_target { standard_output, standard_error };
+
 /**
- * @brief Sends log lines to standard error as JSON.
+ * @brief Sends log lines to a standard stream as JSON.
+ *
+ * Logging never waits for a reader: a line that cannot be written at once is
+ * dropped and counted, and so is a line of an event that comes too often. The
+ * counts are logged as `lines_dropped`.
+ *
  * @param process Name of the process, in each line.
  */
-void StartLogging(const std::string& process);
+void StartLogging(const std::string& process,
+                  log_target target = log_target::standard_error);
 
 /**
  * @brief Writes one log line.
- * @param event Name of what happened.
+ * @param event Name of what happened; docs/LOGS.md lists them.
  * @param values Further members of the line; never a caller's key.
  */
 void Log(level severity, std::string_view event, fields values);
--- a/src/usage/biller.cc
+++ b/src/usage/biller.cc
@@ -39,26 +39,26 @@
   return out;
 }
 
-platform::request ScanNext(const biller& state) {
-  return platform::scan_rows{std::string(kLedgerPrefix), state.scan_after,
-                             state.ledgers_per_scan};
+infra::request ScanNext(const biller& state) {
+  return infra::scan_rows{std::string(kLedgerPrefix), state.scan_after,
+                          state.ledgers_per_scan};
 }
 
 billing_action OnHead(biller& state,
-                      const platform::reply& reply,
+                      const infra::reply& reply,
                       bool window_due) {
   state.head = {};
   state.head_version = 0;
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     state.head = DecodeHead(found->found.value);
     state.head_version = found->found.version;
-  } else if (!std::holds_alternative<platform::row_absent>(reply)) {
+  } else if (!std::holds_alternative<infra::row_absent>(reply)) {
     return billing_done{};
   }
   if (state.head.reported < state.head.frozen) {
     state.step = billing_step::read_window;
     state.window = state.head.reported + 1;
-    return platform::request{platform::read_row{WindowRow(state.window)}};
+    return infra::request{infra::read_row{WindowRow(state.window)}};
   }
   if (!window_due) {
     return billing_done{};
@@ -69,8 +69,8 @@
   return ScanNext(state);
 }
 
-billing_action OnLedgers(biller& state, const platform::reply& reply) {
-  const auto* page = std::get_if<platform::rows_page>(&reply);
+billing_action OnLedgers(biller& state, const infra::reply& reply) {
+  const auto* page = std::get_if<infra::rows_page>(&reply);
   if (!page) {
     return billing_done{};
   }
@@ -84,20 +84,20 @@
     return ScanNext(state);
   }
   state.step = billing_step::read_marks;
-  return platform::request{platform::read_row{std::string(kMarksRow)}};
+  return infra::request{infra::read_row{std::string(kMarksRow)}};
 }
 
 billing_action OnMarks(biller& state,
-                       const platform::reply& reply,
-                       const platform::condition& lease) {
+                       const infra::reply& reply,
+                       const infra::condition& lease) {
   billing_marks marks;
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     const auto decoded = DecodeMarks(found->found.value);
     if (!decoded) {
       return billing_done{};
     }
     marks = *decoded;
-  } else if (!std::holds_alternative<platform::row_absent>(reply)) {
+  } else if (!std::holds_alternative<infra::row_absent>(reply)) {
     return billing_done{};
   }
   const totals figures = NextWindow(state.ledgers, marks);
@@ -107,18 +107,18 @@
   billing_head next = state.head;
   ++next.frozen;
   state.step = billing_step::freeze;
-  platform::commit out;
+  infra::commit out;
   out.conditions = {lease, {std::string(kHeadRow), state.head_version}};
   out.writes = {{std::string(kHeadRow), EncodeHead(next)},
                 {std::string(kMarksRow), EncodeMarks(marks)},
                 {WindowRow(next.frozen), EncodeReport(next.frozen, figures)}};
-  return platform::request{out};
+  return infra::request{out};
 }
 
 billing_action OnWindow(biller& state,
-                        const platform::reply& reply,
+                        const infra::reply& reply,
                         std::uint64_t fencing) {
-  const auto* found = std::get_if<platform::row_found>(&reply);
+  const auto* found = std::get_if<infra::row_found>(&reply);
   if (!found) {
     return billing_done{};
   }
@@ -128,21 +128,21 @@
 }
 
 billing_action OnReported(biller& state,
-                          const platform::reply& reply,
-                          const platform::condition& lease) {
-  if (const auto* refusal = std::get_if<platform::report_refused>(&reply)) {
+                          const infra::reply& reply,
+                          const infra::condition& lease) {
+  if (const auto* refusal = std::get_if<infra::report_refused>(&reply)) {
     return billing_refused{WindowName(state.window), refusal->reason};
   }
-  if (!std::holds_alternative<platform::report_accepted>(reply)) {
+  if (!std::holds_alternative<infra::report_accepted>(reply)) {
     return billing_done{};
   }
   billing_head next = state.head;
   next.reported = state.window;
   state.step = billing_step::mark_reported;
-  platform::commit out;
+  infra::commit out;
   out.conditions = {lease, {std::string(kHeadRow), state.head_version}};
   out.writes = {{std::string(kHeadRow), EncodeHead(next)}};
-  return platform::request{out};
+  return infra::request{out};
 }
 
 }  // namespace
@@ -208,14 +208,14 @@
   }
 }
 
-platform::request BeginBilling(biller& state) {
+infra::request BeginBilling(biller& state) {
   state.step = billing_step::read_head;
-  return platform::read_row{std::string(kHeadRow)};
+  return infra::read_row{std::string(kHeadRow)};
 }
 
 billing_action OnBillingReply(biller& state,
-                              const platform::reply& reply,
-                              const platform::condition& lease,
+                              const infra::reply& reply,
+                              const infra::condition& lease,
                               std::uint64_t fencing,
                               bool window_due) {
   switch (state.step) {
@@ -231,7 +231,7 @@
       return internal::OnReported(state, reply, lease);
     case billing_step::freeze:
     case billing_step::mark_reported:
-      return billing_done{std::holds_alternative<platform::committed>(reply)};
+      return billing_done{std::holds_alternative<infra::committed>(reply)};
   }
   return billing_done{};
 }
--- a/src/usage/biller.h
+++ b/src/usage/biller.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "platform/platform.h"
+#include "infra/infra.h"
 #include "usage/ledger.h"
 
 namespace mimosadeck::usage {
@@ -94,7 +94,7 @@
 };
 /** @brief A report may be sent only while the lease is held: check now. */
 struct billing_report {
-  platform::report_usage report;
+  infra::report_usage report;
 };
 /** @brief The interface refused a report; an operator must look. */
 struct billing_refused {
@@ -103,14 +103,14 @@
 };
 
 /** @brief The next request of a round, or its end. */
-using billing_action = std::
-    variant<platform::request, billing_report, billing_done, billing_refused>;
+using billing_action =
+    std::variant<infra::request, billing_report, billing_done, billing_refused>;
 
 /**
  * @brief Starts a round.
  * @param freezes True if a window is due to be frozen.
  */
-[[nodiscard]] platform::request BeginBilling(biller& state);
+[[nodiscard]] infra::request BeginBilling(biller& state);
 
 /**
  * @brief Takes the reply to a round's last request.
@@ -120,8 +120,8 @@
  * @param window_due True if the next window may be frozen.
  */
 [[nodiscard]] billing_action OnBillingReply(biller& state,
-                                            const platform::reply& reply,
-                                            const platform::condition& lease,
+                                            const infra::reply& reply,
+                                            const infra::condition& lease,
                                             std::uint64_t fencing,
                                             bool window_due);
 
--- a/src/usage/ledger.cc
+++ b/src/usage/ledger.cc
@@ -7,16 +7,15 @@
 namespace {
 
 flush_step ReadRow(const flush& state) {
-  return platform::request{
-      platform::read_row{LedgerRow(state.snapshot.incarnation)}};
+  return infra::request{infra::read_row{LedgerRow(state.snapshot.incarnation)}};
 }
 
 flush_step WriteRow(const flush& state) {
   const std::string key = LedgerRow(state.snapshot.incarnation);
-  platform::commit out;
+  infra::commit out;
   out.conditions.push_back({key, state.row_version});
   out.writes.push_back({key, EncodeLedger(state.snapshot)});
-  return platform::request{out};
+  return infra::request{out};
 }
 
 }  // namespace
@@ -102,12 +101,12 @@
   return state.knows_row ? internal::WriteRow(state) : internal::ReadRow(state);
 }
 
-flush_step OnFlushReply(flush& state, const platform::reply& reply) {
-  if (const auto* done = std::get_if<platform::committed>(&reply)) {
+flush_step OnFlushReply(flush& state, const infra::reply& reply) {
+  if (const auto* done = std::get_if<infra::committed>(&reply)) {
     state.row_version = done->version;
     return flush_done{state.snapshot.sequence};
   }
-  if (const auto* found = std::get_if<platform::row_found>(&reply)) {
+  if (const auto* found = std::get_if<infra::row_found>(&reply)) {
     state.knows_row = true;
     state.row_version = found->found.version;
     const auto stored = DecodeLedger(found->found.value);
@@ -116,13 +115,13 @@
     }
     return internal::WriteRow(state);
   }
-  if (std::holds_alternative<platform::row_absent>(reply)) {
+  if (std::holds_alternative<infra::row_absent>(reply)) {
     state.knows_row = true;
     state.row_version = 0;
     return internal::WriteRow(state);
   }
   state.knows_row = false;
-  if (std::holds_alternative<platform::conflict>(reply)) {
+  if (std::holds_alternative<infra::conflict>(reply)) {
     return internal::ReadRow(state);
   }
   return flush_failed{};
--- a/src/usage/ledger.h
+++ b/src/usage/ledger.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-#include "platform/platform.h"
+#include "infra/infra.h"
 
 namespace mimosadeck::usage {
 
@@ -101,7 +101,7 @@
 struct flush_failed {};
 
 /** @brief The next request of a flush, or its end. */
-using flush_step = std::variant<platform::request, flush_done, flush_failed>;
+using flush_step = std::variant<infra::request, flush_done, flush_failed>;
 
 /**
  * @brief Starts to write a ledger.
@@ -111,8 +111,7 @@
 [[nodiscard]] flush_step BeginFlush(flush& state, const ledger& source);
 
 /** @brief Takes the reply to a flush's last request. */
-[[nodiscard]] flush_step OnFlushReply(flush& state,
-                                      const platform::reply& reply);
+[[nodiscard]] flush_step OnFlushReply(flush& state, const infra::reply& reply);
 
 }  // namespace mimosadeck::usage
 
--- a/test/config/config_test.cc
+++ b/test/config/config_test.cc
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 using mimosadeck::mono_time;
 namespace config = mimosadeck::config;
-namespace platform = mimosadeck::platform;
+namespace infra = mimosadeck::infra;
 
 struct configured_store {
   mimosadeck::stand_in::memory_platform store;
@@ -33,7 +33,7 @@
     auto request = config::BeginEdit(edit);
     for (int i = 0; i < 50; ++i) {
       auto step = config::OnEditReply(edit, Handle(store, request));
-      if (auto* next = std::get_if<platform::request>(&step)) {
+      if (auto* next = std::get_if<infra::request>(&step)) {
         request = *next;
       } else if (auto* again = std::get_if<config::edit_retry>(&step)) {
         request = again->again;
@@ -52,7 +52,7 @@
       if (auto* done = std::get_if<config::poll_done>(&step)) {
         return done->store_answered;
       }
-      request = std::get<platform::request>(step);
+      request = std::get<infra::request>(step);
     }
   }
 
@@ -77,13 +77,13 @@
   auto first_step = config::OnEditReply(first, Handle(store, first_request));
   auto second_step = config::OnEditReply(second, Handle(store, second_request));
   first_step = config::OnEditReply(
-      first, Handle(store, std::get<platform::request>(first_step)));
+      first, Handle(store, std::get<infra::request>(first_step)));
   second_step = config::OnEditReply(
-      second, Handle(store, std::get<platform::request>(second_step)));
+      second, Handle(store, std::get<infra::request>(second_step)));
   BOOST_TEST(std::holds_alternative<config::edit_accepted>(first_step));
-  while (std::holds_alternative<platform::request>(second_step)) {
+  while (std::holds_alternative<infra::request>(second_step)) {
     second_step = config::OnEditReply(
-        second, Handle(store, std::get<platform::request>(second_step)));
+        second, Handle(store, std::get<infra::request>(second_step)));
   }
   BOOST_REQUIRE(std::holds_alternative<config::edit_lost>(second_step));
   BOOST_TEST(std::get<config::edit_lost>(second_step).newest == 1);
@@ -108,11 +108,11 @@
   auto step = config::OnEditReply(first, Handle(store, request));
   auto second = MakeEdit(0, "b");
   BOOST_REQUIRE(std::holds_alternative<config::edit_accepted>(Carry(second)));
-  step = config::OnEditReply(first, platform::unknown_outcome{});
+  step = config::OnEditReply(first, infra::unknown_outcome{});
   while (!std::holds_alternative<config::edit_lost>(step) &&
          !std::holds_alternative<config::edit_accepted>(step)) {
-    const auto next = std::holds_alternative<platform::request>(step)
-                          ? std::get<platform::request>(step)
+    const auto next = std::holds_alternative<infra::request>(step)
+                          ? std::get<infra::request>(step)
                           : std::get<config::edit_retry>(step).again;
     step = config::OnEditReply(first, Handle(store, next));
   }
--- a/test/lease/lease_test.cc
+++ b/test/lease/lease_test.cc
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 using mimosadeck::mono_time;
 namespace lease = mimosadeck::lease;
-namespace platform = mimosadeck::platform;
+namespace infra = mimosadeck::infra;
 
 /** @brief Where in a holder's cycle a fault strikes. */
 enum class step { before_tick, after_send, after_store, after_reply };
@@ -82,8 +82,8 @@
         auto& holder = lease::IsHeld(fresh.a, fresh.now) ? fresh.a : fresh.b;
         auto& other = &holder == &fresh.a ? fresh.b : fresh.a;
         fresh.now += fresh.options.renew_interval;
-        std::optional<platform::request> request;
-        std::optional<platform::reply> reply;
+        std::optional<infra::request> request;
+        std::optional<infra::reply> reply;
         if (where != step::before_tick) {
           request = lease::Tick(holder, fresh.options, fresh.now, false);
           BOOST_REQUIRE(request);
@@ -169,11 +169,11 @@
   Run({&a}, 1s);
   const auto condition = lease::FencingCondition(a, options);
   Run({&b}, 6s);
-  platform::commit late;
+  infra::commit late;
   late.conditions.push_back(condition);
   late.writes.push_back({"intent", "x"});
-  BOOST_TEST(std::holds_alternative<platform::conflict>(
-      Handle(store, platform::request{late})));
+  BOOST_TEST(std::holds_alternative<infra::conflict>(
+      Handle(store, infra::request{late})));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/orders/orders_test.cc
+++ b/test/orders/orders_test.cc
@@ -11,7 +11,7 @@
 using mimosadeck::mono_time;
 namespace lease = mimosadeck::lease;
 namespace orders = mimosadeck::orders;
-namespace platform = mimosadeck::platform;
+namespace infra = mimosadeck::infra;
 
 struct ordering_process {
   lease::contender contender;
@@ -39,9 +39,9 @@
       processes[i].book.data_centre = "x";
     }
     for (int i = 0; i < 6; ++i) {
-      platform::vm parked;
+      infra::vm parked;
       parked.id = "e" + std::to_string(i);
-      parked.role = platform::vm_role::engine;
+      parked.role = infra::vm_role::engine;
       parked.data_centre = "x";
       parked.pool = "m";
       store.parked[parked.id] = parked;
@@ -54,7 +54,7 @@
   void Look() {
     std::uint32_t running = 0;
     for (const auto& [unused, item] : store.vms) {
-      running += item.state == platform::vm_state::live ? 1 : 0;
+      running += item.state == infra::vm_state::live ? 1 : 0;
     }
     history[now] = running;
     const auto known = history.upper_bound(now - lag);
@@ -70,7 +70,7 @@
     }
   }
 
-  platform::condition Condition(const ordering_process& who) const {
+  infra::condition Condition(const ordering_process& who) const {
     return lease::FencingCondition(who.contender, lease_options);
   }
 
@@ -89,7 +89,7 @@
 
   /** @brief Sends what is prepared; false if there was nothing to send. */
   bool Send(ordering_process& who, bool check_lease = true) {
-    platform::request request;
+    infra::request request;
     if (const auto* order = std::get_if<orders::send_order>(&who.next)) {
       if (check_lease && !lease::IsHeld(who.contender, now)) {
         orders::OnNotSent(who.book);
@@ -97,7 +97,7 @@
         return false;
       }
       request = order->order;
-    } else if (const auto* plain = std::get_if<platform::request>(&who.next)) {
+    } else if (const auto* plain = std::get_if<infra::request>(&who.next)) {
       request = *plain;
     } else {
       return false;
--- a/test/stand_in/memory_platform.cc
+++ b/test/stand_in/memory_platform.cc
@@ -9,18 +9,18 @@
   return found == state.rows.end() ? 0 : found->second.version;
 }
 
-platform::reply Do(memory_platform& state, const platform::read_row& request) {
+infra::reply Do(memory_platform& state, const infra::read_row& request) {
   ++state.reads;
   const auto found = state.rows.find(request.key);
   if (found == state.rows.end()) {
-    return platform::row_absent{};
+    return infra::row_absent{};
   }
-  return platform::row_found{found->second};
+  return infra::row_found{found->second};
 }
 
-platform::reply Do(memory_platform& state, const platform::scan_rows& request) {
+infra::reply Do(memory_platform& state, const infra::scan_rows& request) {
   ++state.reads;
-  platform::rows_page page;
+  infra::rows_page page;
   const auto& start = request.after.empty() ? request.prefix : request.after;
   for (auto it = state.rows.lower_bound(start);
        it != state.rows.end() && it->first.starts_with(request.prefix); ++it) {
@@ -36,12 +36,12 @@
   return page;
 }
 
-platform::reply Do(memory_platform& state, const platform::commit& request) {
+infra::reply Do(memory_platform& state, const infra::commit& request) {
   ++state.writes;
   for (const auto& item : request.conditions) {
     const auto version = VersionOf(state, item.key);
     if (version != item.version) {
-      return platform::conflict{item.key, version};
+      return infra::conflict{item.key, version};
     }
   }
   const std::uint64_t version = ++state.last_version;
@@ -52,41 +52,39 @@
       state.rows.erase(item.key);
     }
   }
-  return platform::committed{version};
+  return infra::committed{version};
 }
 
-platform::reply Do(memory_platform& state,
-                   const platform::put_object& request) {
+infra::reply Do(memory_platform& state, const infra::put_object& request) {
   ++state.writes;
   state.objects[request.name] = request.bytes;
-  return platform::object_stored{};
+  return infra::object_stored{};
 }
 
-platform::reply Do(memory_platform& state,
-                   const platform::get_object& request) {
+infra::reply Do(memory_platform& state, const infra::get_object& request) {
   ++state.reads;
   const auto found = state.objects.find(request.name);
   if (found == state.objects.end()) {
-    return platform::object_absent{};
+    return infra::object_absent{};
   }
-  return platform::object_found{found->second};
+  return infra::object_found{found->second};
 }
 
-platform::reply Do(memory_platform& state, const platform::list_vms&) {
+infra::reply Do(memory_platform& state, const infra::list_vms&) {
   ++state.reads;
-  platform::vm_list list;
+  infra::vm_list list;
   for (const auto& [unused, item] : state.vms) {
     list.vms.push_back(item);
   }
   return list;
 }
 
-bool Matches(const platform::vm& item, const platform::place_order& order) {
+bool Matches(const infra::vm& item, const infra::place_order& order) {
   return item.data_centre == order.data_centre && item.pool == order.pool &&
          item.cheaper == order.cheaper;
 }
 
-void Start(memory_platform& state, const platform::place_order& order) {
+void Start(memory_platform& state, const infra::place_order& order) {
   auto left = order.count;
   for (auto it = state.parked.begin(); it != state.parked.end() && left > 0;) {
     if (!Matches(it->second, order)) {
@@ -99,69 +97,67 @@
   }
 }
 
-void Stop(memory_platform& state, const platform::place_order& order) {
+void Stop(memory_platform& state, const infra::place_order& order) {
   auto left = order.count;
   for (auto& [unused, item] : state.vms) {
     if (left > 0 && Matches(item, order) &&
-        item.state == platform::vm_state::live) {
-      item.state = platform::vm_state::leaving;
+        item.state == infra::vm_state::live) {
+      item.state = infra::vm_state::leaving;
       --left;
     }
   }
 }
 
-platform::reply Do(memory_platform& state, const platform::place_order& order) {
+infra::reply Do(memory_platform& state, const infra::place_order& order) {
   auto& highest = state.highest_fencing[order.data_centre];
   if (state.checks_fencing && order.fencing < highest) {
     state.orders.push_back({order, false});
-    return platform::order_refused{"old fencing number", highest};
+    return infra::order_refused{"old fencing number", highest};
   }
   highest = std::max(highest, order.fencing);
   state.orders.push_back({order, true});
   if (!state.order_ids.insert(order.data_centre + "/" + order.order_id)
            .second) {
-    return platform::order_accepted{};
+    return infra::order_accepted{};
   }
-  if (order.kind == platform::order_kind::start) {
+  if (order.kind == infra::order_kind::start) {
     Start(state, order);
   } else {
     Stop(state, order);
   }
-  return platform::order_accepted{};
+  return infra::order_accepted{};
 }
 
-platform::reply Do(memory_platform& state,
-                   const platform::report_usage& report) {
+infra::reply Do(memory_platform& state, const infra::report_usage& report) {
   state.reports.push_back({report.window, report.body, report.fencing});
   const auto [known, fresh] =
       state.reported.try_emplace(report.window, report.body);
   if (!fresh && known->second != report.body) {
-    return platform::report_refused{"reported before with other figures"};
+    return infra::report_refused{"reported before with other figures"};
   }
-  return platform::report_accepted{};
+  return infra::report_accepted{};
 }
 
-bool IsWrite(const platform::request& request) {
-  return std::holds_alternative<platform::commit>(request) ||
-         std::holds_alternative<platform::put_object>(request) ||
-         std::holds_alternative<platform::place_order>(request) ||
-         std::holds_alternative<platform::report_usage>(request);
+bool IsWrite(const infra::request& request) {
+  return std::holds_alternative<infra::commit>(request) ||
+         std::holds_alternative<infra::put_object>(request) ||
+         std::holds_alternative<infra::place_order>(request) ||
+         std::holds_alternative<infra::report_usage>(request);
 }
 
 }  // namespace
 }  // namespace internal
 
-platform::reply Handle(memory_platform& state,
-                       const platform::request& request) {
+infra::reply Handle(memory_platform& state, const infra::request& request) {
   if (state.faults.down) {
-    return platform::unavailable{};
+    return infra::unavailable{};
   }
   auto reply = std::visit(
       [&state](const auto& item) { return internal::Do(state, item); },
       request);
   if (internal::IsWrite(request) && state.faults.lost_replies > 0) {
     --state.faults.lost_replies;
-    return platform::unknown_outcome{};
+    return infra::unknown_outcome{};
   }
   return reply;
 }
--- a/test/stand_in/memory_platform.h
+++ b/test/stand_in/memory_platform.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "infra/infra.h"
 
 namespace mimosadeck::stand_in {
 
@@ -20,7 +20,7 @@
 
 /** @brief An order as the data centre interface took it. */
 struct taken_order {
-  platform::place_order order;
+  infra::place_order order;
   bool accepted{};
 };
 
@@ -39,11 +39,11 @@
   platform_faults faults;
   bool checks_fencing{true};
   std::uint64_t last_version{};
-  std::map<std::string, platform::row> rows;
+  std::map<std::string, infra::row> rows;
   std::map<std::string, std::string> objects;
-  std::map<std::string, platform::vm> vms;
+  std::map<std::string, infra::vm> vms;
   /** VMs that a start order brings into the list. */
-  std::map<std::string, platform::vm> parked;
+  std::map<std::string, infra::vm> parked;
   std::map<std::string, std::uint64_t> highest_fencing;
   std::set<std::string> order_ids;
   std::vector<taken_order> orders;
@@ -54,8 +54,8 @@
 };
 
 /** @brief Carries out one request. */
-[[nodiscard]] platform::reply Handle(memory_platform& state,
-                                     const platform::request& request);
+[[nodiscard]] infra::reply Handle(memory_platform& state,
+                                  const infra::request& request);
 
 }  // namespace mimosadeck::stand_in
 
--- a/test/stand_in/platform_main.cc
+++ b/test/stand_in/platform_main.cc
@@ -24,18 +24,17 @@
     asio::steady_timer timer(co_await asio::this_coro::executor, process.delay);
     co_await timer.async_wait(asio::use_awaitable);
   }
-  const auto decoded = platform::DecodeRequest(request.body);
+  const auto decoded = infra::DecodeRequest(request.body);
   if (!IsOk(decoded)) {
     co_await exchange.Respond(JsonText(400, R"({"error":"malformed"})"));
     co_return;
   }
-  const auto reply =
-      Handle(process.state, std::get<platform::request>(decoded));
-  if (std::holds_alternative<platform::unknown_outcome>(reply)) {
+  const auto reply = Handle(process.state, std::get<infra::request>(decoded));
+  if (std::holds_alternative<infra::unknown_outcome>(reply)) {
     exchange.CutOff();
     co_return;
   }
-  co_await exchange.Respond(JsonText(200, platform::EncodeReply(reply)));
+  co_await exchange.Respond(JsonText(200, infra::EncodeReply(reply)));
 }
 
 void SetFaults(platform_process& process, const json::object& wanted) {
@@ -54,16 +53,16 @@
 }
 
 void SetVm(platform_process& process, const json::object& wanted) {
-  platform::vm item;
+  infra::vm item;
   item.id = json::value_to<std::string>(wanted.at("id"));
   const auto text = [&](std::string_view name) {
     const auto* value = wanted.if_contains(name);
     return value ? json::value_to<std::string>(*value) : std::string{};
   };
   const std::string role = text("role");
-  item.role = role == "engine"    ? platform::vm_role::engine
-              : role == "service" ? platform::vm_role::service
-                                  : platform::vm_role::entry;
+  item.role = role == "engine"    ? infra::vm_role::engine
+              : role == "service" ? infra::vm_role::service
+                                  : infra::vm_role::entry;
   item.address = text("address");
   item.data_centre = text("data_centre");
   item.pool = text("pool");
@@ -80,7 +79,7 @@
     return;
   }
   if (state == "leaving") {
-    item.state = platform::vm_state::leaving;
+    item.state = infra::vm_state::leaving;
   }
   auto& list = state == "parked" ? process.state.parked : process.state.vms;
   list[item.id] = item;
@@ -101,7 +100,7 @@
                      {"fencing", taken.order.fencing},
                      {"pool", taken.order.pool},
                      {"count", taken.order.count},
-                     {"start", taken.order.kind == platform::order_kind::start},
+                     {"start", taken.order.kind == infra::order_kind::start},
                      {"accepted", taken.accepted}});
   }
   json::object rows;
--- a/test/stand_in/process.cc
+++ b/test/stand_in/process.cc
@@ -24,7 +24,7 @@
            net::http_handler handler,
            std::function<void(const std::string&)> on_ready) {
   net::server_options options;
-  options.body_limit_bytes = 64ULL * 1024 * 1024;
+  options.limits.body_limit_bytes = 64ULL * 1024 * 1024;
   net::http_server server({&context}, address, options, std::move(handler));
   std::cout << "ADDRESS=" << server.Address() << std::endl;
   on_ready(server.Address());
--- a/test/usage/usage_test.cc
+++ b/test/usage/usage_test.cc
@@ -14,14 +14,14 @@
 using namespace std::chrono_literals;
 using mimosadeck::mono_time;
 namespace lease = mimosadeck::lease;
-namespace platform = mimosadeck::platform;
+namespace infra = mimosadeck::infra;
 namespace usage = mimosadeck::usage;
 
 /** @brief One process that bills while it holds the lease. */
 struct billing_process {
   lease::contender contender;
   usage::biller biller;
-  std::optional<platform::request> next;
+  std::optional<infra::request> next;
   bool is_report{};
 };
 
@@ -45,8 +45,7 @@
   }
 
   /** @brief Prepares the next request of a round; sends nothing. */
-  bool Prepare(billing_process& who,
-               const std::optional<platform::reply>& got) {
+  bool Prepare(billing_process& who, const std::optional<infra::reply>& got) {
     if (!got) {
       who.next = usage::BeginBilling(who.biller);
       who.is_report = false;
@@ -60,7 +59,7 @@
       who.next = std::get<usage::billing_report>(step).report;
       return lease::IsHeld(who.contender, now);
     }
-    if (auto* request = std::get_if<platform::request>(&step)) {
+    if (auto* request = std::get_if<infra::request>(&step)) {
       who.next = *request;
       return true;
     }
@@ -71,7 +70,7 @@
   /** @brief Runs one round; stops before request number `stop_at`. */
   int Round(billing_process& who, int stop_at = 1000) {
     int count = 0;
-    std::optional<platform::reply> got;
+    std::optional<infra::reply> got;
     while (Prepare(who, got) && count < stop_at) {
       got = Handle(store, *who.next);
       ++count;
@@ -83,7 +82,7 @@
     usage::flush flush;
     auto step = usage::BeginFlush(flush, source);
     for (int i = 0; i < 10; ++i) {
-      const auto* request = std::get_if<platform::request>(&step);
+      const auto* request = std::get_if<infra::request>(&step);
       if (!request) {
         return;
       }
@@ -288,7 +287,7 @@
       fresh.HoldBy(0);
       auto& paused = fresh.processes[0];
       int left = at;
-      std::optional<platform::reply> got;
+      std::optional<infra::reply> got;
       while (fresh.Prepare(paused, got) && left > 0) {
         got = Handle(fresh.store, *paused.next);
         --left;
