Compare accounts before routes when ranking urgency

Ruled out: memory (no engine was full when it happened); the log's new field urgency showed one value for all routes of an account. Change: table::UrgencyOf ranks the pairs of account and route priority.

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -198,9 +198,7 @@
         work_->deadline - steady::now());
     out.upstream_id = ticket_.entry->id;
     out.account = work_->AccountName();
-    out.priority = work_->account && work_->account->priority
-                       ? *work_->account->priority
-                       : work_->route->priority;
+    out.priority = work_->Urgency();
     if (work_->progress.answer_begun) {
       out.resume_after = work_->events.last_id;
     }
@@ -400,6 +398,7 @@
        {"route", route},
        {"service", work.service},
        {"account", work.AccountName()},
+       {"urgency", std::to_string(work.Urgency())},
        {"manifest_version",
         work.table ? std::to_string(work.table->Version()) : "none"},
        {"attempts", work.attempts},
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -241,8 +241,8 @@
       const auto origin = newer->last.name();
       std::string address = newer->last.control_address();
       std::string path(kManifestPath);
-      const auto text = co_await internal::Fetch(state, std::move(address),
-                                                 std::move(path));
+      const auto text =
+          co_await internal::Fetch(state, std::move(address), std::move(path));
       if (text) {
         AdoptManifest(state, *text, origin);
       }
@@ -257,8 +257,8 @@
       registry_asked_at = now;
       std::string address = source->last.control_address();
       std::string path(kUpstreamsPath);
-      const auto text = co_await internal::Fetch(state, std::move(address),
-                                                 std::move(path));
+      const auto text =
+          co_await internal::Fetch(state, std::move(address), std::move(path));
       if (text) {
         internal::AdoptRegistry(state, *text, now);
       }
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -39,6 +39,11 @@
   net::http_call* call{};
   bool caller_left{};
 
+  /** @brief Returns the request's urgency; 0 is the most urgent. */
+  [[nodiscard]] int Urgency() const {
+    return route ? table->UrgencyOf(*route, account) : 0;
+  }
+
   [[nodiscard]] std::string AccountName() const {
     return account ? account->name : std::string{};
   }
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -14,6 +14,9 @@
 
 namespace mimosadeck::routing {
 
+/** @brief Number of urgencies that an engine tells apart, less one. */
+inline constexpr int kLeastUrgent = 9;
+
 /** @brief What may be repeated, and how the answer arrives. */
 enum class request_kind {
   /** May run any number of times. */
@@ -85,7 +88,7 @@
 struct client_account {
   std::string name;
   std::vector<std::string> keys;
-  /** Replaces the urgency of the route. */
+  /** Compared before the urgency of the routes; 0 is the most urgent. */
   std::optional<int> priority;
 };
 
@@ -136,6 +139,18 @@
   /** @brief Finds the client account that holds a key, or null. */
   [[nodiscard]] const client_account* AccountOf(std::string_view key) const;
 
+  /**
+   * @brief Returns the place of a request among all kinds of requests.
+   *
+   * Accounts are compared first and routes next. Requests without an account
+   * stand beside the least urgent account.
+   *
+   * @param account Null on open routes.
+   * @return 0 for the most urgent, up to `kLeastUrgent`.
+   */
+  [[nodiscard]] int UrgencyOf(const route& of,
+                              const client_account* account) const;
+
   /** @brief Finds a service by name, or null. */
   [[nodiscard]] const service* FindService(std::string_view name) const;
 
--- a/src/routing/table.cc
+++ b/src/routing/table.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cctype>
 #include <functional>
+#include <set>
 #include <unordered_map>
 
 #include "base/base.h"
@@ -28,6 +29,39 @@
   return out;
 }
 
+/** Urgency of the account, then of the route. */
+using urgency = std::pair<int, int>;
+
+int LeastUrgentAccount(const manifest& content) {
+  int least = 0;
+  if (content.accounts) {
+    for (const auto& account : *content.accounts) {
+      least = std::max(least, account.priority.value_or(0));
+    }
+  }
+  return least;
+}
+
+std::vector<urgency> UrgenciesOf(const manifest& content, int least) {
+  std::set<int> accounts{least};
+  if (content.accounts) {
+    for (const auto& account : *content.accounts) {
+      accounts.insert(account.priority.value_or(least));
+    }
+  }
+  std::set<int> routes;
+  for (const auto& found : content.routes) {
+    routes.insert(found.priority);
+  }
+  std::vector<urgency> out;
+  for (const int account : accounts) {
+    for (const int route : routes) {
+      out.emplace_back(account, route);
+    }
+  }
+  return out;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -37,10 +71,16 @@
   internal::text_map<const client_account*> accounts;
   internal::text_map<const service*> services;
   internal::text_map<std::chrono::milliseconds> pause_goals;
+  int least_urgent_account{};
+  /** In rising order. */
+  std::vector<internal::urgency> urgencies;
 };
 
 table::table(manifest content) : impl_(std::make_unique<impl>()) {
   impl_->content = std::move(content);
+  impl_->least_urgent_account = internal::LeastUrgentAccount(impl_->content);
+  impl_->urgencies =
+      internal::UrgenciesOf(impl_->content, impl_->least_urgent_account);
   for (const auto& found : impl_->content.services) {
     impl_->services[found.name] = &found;
   }
@@ -102,6 +142,19 @@
   return found == impl_->accounts.end() ? nullptr : found->second;
 }
 
+int table::UrgencyOf(const route& of, const client_account* account) const {
+  const int first =
+      account ? account->priority.value_or(impl_->least_urgent_account)
+              : impl_->least_urgent_account;
+  const auto& all = impl_->urgencies;
+  const auto place =
+      static_cast<int>(std::lower_bound(all.begin(), all.end(),
+                                        internal::urgency{first, of.priority}) -
+                       all.begin());
+  const auto last = static_cast<int>(all.size()) - 1;
+  return last <= kLeastUrgent ? place : place * kLeastUrgent / last;
+}
+
 const service* table::FindService(std::string_view name) const {
   const auto found = impl_->services.find(name);
   return found == impl_->services.end() ? nullptr : found->second;
