See the store's return when it happens, not with the next change

Ruled out: late feeds (every entry logged upstream_gone within 7 ms). Tests: the client against a stand-in of the store with faults in a table (store_that_returns_without_changes_... failed before), and the decision libraries.

--- /dev/null
+++ b/test/forwarding/forwarding_test.cc
@@ -0,0 +1,114 @@
+#define BOOST_TEST_MODULE forwarding
+#include <boost/test/included/unit_test.hpp>
+
+#include <random>
+
+#include "forwarding/forwarding.h"
+
+namespace {
+
+namespace forwarding = mimosadeck::forwarding;
+namespace routing = mimosadeck::routing;
+using forwarding::attempt_end;
+using forwarding::next_step;
+using routing::request_kind;
+
+routing::route MakeRoute(request_kind kind, bool resumable, int attempts) {
+  routing::route out;
+  out.kind = kind;
+  out.resumable = resumable;
+  out.max_attempts = attempts;
+  return out;
+}
+
+struct one_request {
+  forwarding::progress state;
+  forwarding::options settings;
+
+  next_step End(const routing::route& route,
+                attempt_end ended,
+                bool covered = true) {
+    return forwarding::OnAttemptEnd(state, settings, route, ended, covered);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(at_most_once, one_request)
+
+BOOST_AUTO_TEST_CASE(non_idempotent_request_that_broke_off_is_never_repeated) {
+  const auto route = MakeRoute(request_kind::non_idempotent, false, 3);
+  BOOST_TEST((End(route, attempt_end::broke_off) == next_step::fail_unknown));
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_cannot_resume_is_never_repeated) {
+  const auto route = MakeRoute(request_kind::stream, false, 3);
+  BOOST_TEST((End(route, attempt_end::broke_off) == next_step::fail_unknown));
+}
+
+BOOST_AUTO_TEST_CASE(refused_request_goes_to_another_upstream) {
+  const auto route = MakeRoute(request_kind::non_idempotent, false, 1);
+  BOOST_TEST((End(route, attempt_end::refused) == next_step::send_again));
+  BOOST_TEST((End(route, attempt_end::refused) == next_step::send_again));
+  BOOST_TEST((End(route, attempt_end::refused) == next_step::refuse_not_run));
+}
+
+BOOST_AUTO_TEST_CASE(upstreams_out_of_reach_are_tried_in_turn_then_refused) {
+  const auto route = MakeRoute(request_kind::non_idempotent, false, 1);
+  for (int i = 1; i < settings.most_unconnected; ++i) {
+    BOOST_TEST(
+        (End(route, attempt_end::not_connected) == next_step::send_again));
+  }
+  BOOST_TEST(
+      (End(route, attempt_end::not_connected) == next_step::refuse_not_run));
+}
+
+/** Any order of attempt ends: a request that must not run twice is never sent
+ * again after it may have run, and "not run" is said only if it has not. */
+BOOST_AUTO_TEST_CASE(random_attempts_never_run_twice_nor_deny_a_run) {
+  std::mt19937 random(1);
+  const auto route = MakeRoute(request_kind::non_idempotent, false, 2);
+  for (int round = 0; round < 20000; ++round) {
+    state = {};
+    bool may_have_run = false;
+    for (auto next = next_step::send_again; next == next_step::send_again;) {
+      BOOST_REQUIRE(!may_have_run);
+      const auto ended = static_cast<attempt_end>(random() % 4);
+      may_have_run = may_have_run || ended == attempt_end::broke_off ||
+                     ended == attempt_end::failed;
+      next = End(route, ended, random() % 4 != 0);
+      BOOST_REQUIRE((next != next_step::refuse_not_run || !may_have_run));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(repeating, one_request)
+
+BOOST_AUTO_TEST_CASE(idempotent_request_runs_as_often_as_its_route_allows) {
+  const auto route = MakeRoute(request_kind::idempotent, false, 2);
+  BOOST_TEST((End(route, attempt_end::failed) == next_step::send_again));
+  BOOST_TEST((End(route, attempt_end::failed) == next_step::pass_failure_on));
+}
+
+BOOST_AUTO_TEST_CASE(repeat_without_budget_is_not_made) {
+  const auto route = MakeRoute(request_kind::idempotent, false, 3);
+  BOOST_TEST(
+      (End(route, attempt_end::broke_off, false) == next_step::fail_unknown));
+}
+
+BOOST_AUTO_TEST_CASE(resumable_stream_goes_on_after_it_began) {
+  const auto route = MakeRoute(request_kind::stream, true, 2);
+  state.answer_begun = true;
+  BOOST_TEST((End(route, attempt_end::broke_off) == next_step::send_again));
+  BOOST_TEST((End(route, attempt_end::broke_off) == next_step::cut_off));
+}
+
+BOOST_AUTO_TEST_CASE(begun_answer_is_cut_rather_than_answered_twice) {
+  const auto route = MakeRoute(request_kind::stream, false, 1);
+  state.answer_begun = true;
+  BOOST_TEST((End(route, attempt_end::failed) == next_step::cut_off));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- /dev/null
+++ b/test/platform/client_test.cc
@@ -0,0 +1,219 @@
+#define BOOST_TEST_MODULE platform_client
+#include <boost/test/included/unit_test.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "platform/client.h"
+#include "platform/store_stand_in.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::platform_test::store_fault;
+using mimosadeck::platform_test::store_stand_in;
+namespace asio = boost::asio;
+namespace infra = mimosadeck::infra;
+namespace platform = mimosadeck::platform;
+
+constexpr auto kEntry =
+    R"({"service":"pool","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":5})";
+
+struct client_and_store {
+  asio::io_context io{1};
+  store_stand_in store{io};
+  platform::client client{io.get_executor(), Options()};
+
+  platform::client_options Options() const {
+    platform::client_options out;
+    out.store_address = store.Address();
+    out.duty_address = store.Address();
+    out.holder = "entry-1";
+    out.call_timeout = 150ms;
+    out.feed_wait = 100ms;
+    return out;
+  }
+
+  template <typename T>
+  T Await(asio::awaitable<T> work) {
+    std::optional<T> out;
+    asio::co_spawn(io, std::move(work),
+                   [this, &out](std::exception_ptr failure, T result) {
+                     BOOST_REQUIRE(!failure);
+                     out = std::move(result);
+                     io.stop();
+                   });
+    io.restart();
+    io.run();
+    return *std::move(out);
+  }
+
+  infra::reply Send(infra::request request) {
+    return Await(client.Send(std::move(request)));
+  }
+};
+
+template <typename T, typename V>
+bool Is(const V& value) {
+  return std::holds_alternative<T>(value);
+}
+
+infra::commit MakeCommit(const std::string& key,
+                         std::uint64_t version,
+                         const std::string& value) {
+  infra::commit out;
+  out.conditions.push_back({key, version});
+  out.writes.push_back({key, value});
+  return out;
+}
+
+BOOST_FIXTURE_TEST_SUITE(rows, client_and_store)
+
+BOOST_AUTO_TEST_CASE(row_written_under_condition_is_read_back) {
+  BOOST_TEST(Is<infra::row_absent>(Send(infra::read_row{"lease/a"})));
+  const auto written = Send(MakeCommit("lease/a", 0, "one"));
+  BOOST_REQUIRE(Is<infra::committed>(written));
+  const auto read = Send(infra::read_row{"lease/a"});
+  BOOST_REQUIRE(Is<infra::row_found>(read));
+  BOOST_TEST(std::get<infra::row_found>(read).found.value == "one");
+  BOOST_TEST(std::get<infra::row_found>(read).found.version ==
+             std::get<infra::committed>(written).version);
+}
+
+BOOST_AUTO_TEST_CASE(condition_that_fails_tells_the_present_version) {
+  const auto first = Send(MakeCommit("lease/a", 0, "one"));
+  const auto second = Send(MakeCommit("lease/a", 0, "two"));
+  BOOST_REQUIRE(Is<infra::conflict>(second));
+  BOOST_TEST(std::get<infra::conflict>(second).version ==
+             std::get<infra::committed>(first).version);
+}
+
+BOOST_AUTO_TEST_CASE(row_beside_the_one_asked_for_is_not_taken_for_it) {
+  static_cast<void>(Send(MakeCommit("lease/b", 0, "one")));
+  BOOST_TEST(Is<infra::row_absent>(Send(infra::read_row{"lease/a"})));
+}
+
+BOOST_AUTO_TEST_CASE(scan_returns_rows_of_the_prefix_only) {
+  for (const auto* key : {"member/1", "member/2", "usage/1"}) {
+    static_cast<void>(Send(MakeCommit(key, 0, "x")));
+  }
+  const auto page = Send(infra::scan_rows{"member/", "", 500});
+  BOOST_REQUIRE(Is<infra::rows_page>(page));
+  BOOST_TEST(std::get<infra::rows_page>(page).rows.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(usage_report_with_a_lower_fencing_number_is_refused) {
+  BOOST_TEST(Is<infra::report_accepted>(
+      Send(infra::report_usage{"7", 3, R"({"a":1})"})));
+  BOOST_TEST(store.reports.back() == R"({"window_id":7,"counts":{"a":1}})");
+  BOOST_TEST(Is<infra::report_refused>(
+      Send(infra::report_usage{"8", 2, R"({"a":1})"})));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/** What a write and a read return under each fault of the store. */
+struct fault_case {
+  store_fault fault;
+  bool write_is_unknown;
+  bool write_happened;
+};
+
+BOOST_FIXTURE_TEST_SUITE(faults, client_and_store)
+
+BOOST_AUTO_TEST_CASE(each_fault_is_told_apart_from_failure_and_success) {
+  const std::vector<fault_case> cases{
+      {store_fault::busy, false, false},
+      {store_fault::too_many, false, false},
+      {store_fault::reset, true, false},
+      {store_fault::answer_lost, true, true},
+      {store_fault::silent, true, false},
+      {store_fault::garbage, true, false},
+  };
+  int number = 0;
+  for (const auto& each : cases) {
+    const auto key = "lease/" + std::to_string(number++);
+    store.fault = each.fault;
+    const auto written = Send(MakeCommit(key, 0, "x"));
+    const auto read = Send(infra::read_row{key});
+    BOOST_TEST_CONTEXT("fault " << static_cast<int>(each.fault)) {
+      BOOST_TEST(Is<infra::unknown_outcome>(written) == each.write_is_unknown);
+      BOOST_TEST(Is<infra::unavailable>(written) == !each.write_is_unknown);
+      BOOST_TEST(Is<infra::unavailable>(read));
+      store.fault = store_fault::none;
+      BOOST_TEST(Is<infra::row_found>(Send(infra::read_row{key})) ==
+                 each.write_happened);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(following, client_and_store)
+
+BOOST_AUTO_TEST_CASE(manifest_is_read_first_and_then_followed) {
+  store.Put("op", "config", "one");
+  auto step = Await(client.NextManifest());
+  BOOST_REQUIRE(Is<platform::manifest_written>(step));
+  store.Put("op", "config", "two");
+  step = Await(client.NextManifest());
+  BOOST_REQUIRE(Is<platform::manifest_written>(step));
+  BOOST_TEST(std::get<platform::manifest_written>(step).text == "two");
+  BOOST_TEST(Is<platform::unchanged>(Await(client.NextManifest())));
+}
+
+BOOST_AUTO_TEST_CASE(history_that_is_gone_leads_to_a_new_listing) {
+  store.Put("servers", "a", kEntry);
+  BOOST_TEST(Is<platform::upstream_listing>(Await(client.NextUpstreams())));
+  store.Drop("servers", "a");
+  store.Put("servers", "b", kEntry);
+  store.Compact();
+  auto step = Await(client.NextUpstreams());
+  BOOST_REQUIRE(Is<platform::upstream_changes>(step));
+  step = Await(client.NextUpstreams());
+  BOOST_REQUIRE(Is<platform::upstream_listing>(step));
+  const auto& listing = std::get<platform::upstream_listing>(step);
+  BOOST_REQUIRE(listing.entries.size() == 1);
+  BOOST_TEST(listing.entries.front().id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_cannot_be_read_names_no_upstream) {
+  store.Put("servers", "a", kEntry);
+  static_cast<void>(Await(client.NextUpstreams()));
+  store.Put("servers", "a", R"({"service":"pool"})");
+  const auto step = Await(client.NextUpstreams());
+  BOOST_REQUIRE(Is<platform::upstream_changes>(step));
+  const auto& changes = std::get<platform::upstream_changes>(step);
+  BOOST_TEST(changes.written.empty());
+  BOOST_REQUIRE(changes.gone.size() == 1);
+  BOOST_TEST(changes.gone.front() == "a");
+}
+
+/** The store's return must not be seen only with the next change: what leaves
+ * then would be taken for an entry that lapsed in the outage. */
+BOOST_AUTO_TEST_CASE(store_that_returns_without_changes_is_seen_at_once) {
+  store.Put("servers", "a", kEntry);
+  static_cast<void>(Await(client.NextUpstreams()));
+  store.fault = store_fault::reset;
+  BOOST_TEST(Is<platform::store_away>(Await(client.NextUpstreams())));
+  store.fault = store_fault::none;
+  BOOST_TEST(Is<platform::upstream_changes>(Await(client.NextUpstreams())));
+  BOOST_TEST(store.calls.back().ends_with("wait_ms=0"));
+  static_cast<void>(Await(client.NextUpstreams()));
+  BOOST_TEST(store.calls.back().ends_with("wait_ms=100"));
+}
+
+BOOST_AUTO_TEST_CASE(each_fault_of_the_store_is_reported_as_away) {
+  store.Put("op", "config", "one");
+  static_cast<void>(Await(client.NextManifest()));
+  for (const auto fault : {store_fault::busy, store_fault::too_many,
+                           store_fault::reset, store_fault::garbage}) {
+    store.fault = fault;
+    BOOST_TEST(Is<platform::store_away>(Await(client.NextManifest())));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
