--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -1,5 +1,7 @@
 #include "mimosadeckd/edge/duties.h"
 
+#include <algorithm>
+
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
@@ -16,6 +18,64 @@
 /** Windows whose frozen figures are kept. */
 constexpr metering::window_number kWindowsKept = 20;
 
+bool HasDuty(const platform::machine_settings& machine, std::string_view name) {
+  return std::find(machine.duties.begin(), machine.duties.end(), name) !=
+         machine.duties.end();
+}
+
+sizing::observation Observe(const edge_state& state,
+                            const routing::service& service) {
+  sizing::observation out;
+  for (const auto& [data_centre, price] :
+       service.scaling->price_by_data_centre) {
+    out.ready[data_centre] = {};
+  }
+  const auto found = state.pools.find(service.name);
+  if (found == state.pools.end()) {
+    return out;
+  }
+  const auto& pool = found->second;
+  for (const auto& [name, candidate] : pool.candidates) {
+    auto& ready = out.ready[candidate.entry->data_centre];
+    ++(candidate.entry->evictable ? ready.evictable : ready.lasting);
+    const auto load = placement::TotalLoad(candidate);
+    out.running += load.running;
+    out.held_tokens += load.held_tokens;
+    out.slots = candidate.entry->slots;
+  }
+  out.cache_tokens = pool.cache_tokens;
+  out.ms_per_token = placement::MsPerToken(pool.reading);
+  out.tokens_per_second = placement::WorkPerSecond(pool);
+  return out;
+}
+
+sizing::order_answer AnswerOf(platform::capacity_answer answer) {
+  switch (answer) {
+    case platform::capacity_answer::accepted:
+      return sizing::order_answer::accepted;
+    case platform::capacity_answer::refused:
+      return sizing::order_answer::refused;
+    case platform::capacity_answer::unavailable:
+    case platform::capacity_answer::unknown:
+      return sizing::order_answer::unanswered;
+  }
+  return sizing::order_answer::unanswered;
+}
+
+std::string_view NameOf(platform::capacity_answer answer) {
+  switch (answer) {
+    case platform::capacity_answer::accepted:
+      return "accepted";
+    case platform::capacity_answer::refused:
+      return "refused";
+    case platform::capacity_answer::unavailable:
+      return "unavailable";
+    case platform::capacity_answer::unknown:
+      return "unknown";
+  }
+  return "unlisted";
+}
+
 std::string WindowKey(metering::window_number window) {
   return "usage/" + std::to_string(window);
 }
@@ -71,6 +131,9 @@
     co_await TickLease();
     if (MayAct()) {
       co_await ReportDueWindows();
+      co_await SizeServices();
+    } else {
+      planners_.clear();
     }
     co_await Sleep(internal::kTickInterval);
   }
@@ -117,6 +180,42 @@
   reported_.erase(reported_.begin(), reported_.lower_bound(oldest));
 }
 
+asio::awaitable<void> duties::SizeServices() {
+  const auto table = state_.table;
+  if (!table || !state_.registry_followed ||
+      !internal::HasDuty(state_.machine, "scale")) {
+    co_return;
+  }
+  for (const auto& service : table->Services()) {
+    if (!service.scaling || !MayAct()) {
+      continue;
+    }
+    auto& planner = planners_[service.name];
+    const auto seen = internal::Observe(state_, service);
+    const auto due = sizing::NextOrder(
+        planner, sizing_options_, *service.scaling, seen, SuspendAwareNow());
+    if (!due) {
+      continue;
+    }
+    platform::capacity_order wanted{service.name, due->data_centre, due->count,
+                                    due->evictable, state_.lease.fencing};
+    const auto answer = co_await state_.platform.SetCapacity(std::move(wanted));
+    sizing::OnAnswer(planner, sizing_options_, *due, internal::AnswerOf(answer),
+                     SuspendAwareNow());
+    telemetry::Log(
+        telemetry::level::info, "capacity_ordered",
+        {{"service", service.name},
+         {"data_centre", due->data_centre},
+         {"evictable", due->evictable ? "yes" : "no"},
+         {"count", std::to_string(due->count)},
+         {"need", std::to_string(planner.need.value_or(0))},
+         {"tokens_per_second", std::to_string(seen.tokens_per_second)},
+         {"ms_per_token", std::to_string(seen.ms_per_token)},
+         {"fencing", std::to_string(state_.lease.fencing)},
+         {"answer", internal::NameOf(answer)}});
+  }
+}
+
 /** Figures are fixed in the store before the first report, so that whoever
  * reports a window reports the same. */
 asio::awaitable<std::optional<std::string>> duties::Freeze(
--- a/apps/mimosadeckd/edge/duties.h
+++ b/apps/mimosadeckd/edge/duties.h
@@ -1,17 +1,21 @@
 #ifndef APPS_MIMOSADECKD_EDGE_DUTIES_H_
 #define APPS_MIMOSADECKD_EDGE_DUTIES_H_
 
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 
 #include <boost/asio/awaitable.hpp>
 
 #include "mimosadeckd/edge/state.h"
+#include "sizing/sizing.h"
 
 namespace mimosadeck::edge {
 
 /**
- * @brief Contends for the lease and, while it holds it, reports usage.
+ * @brief Contends for the lease and, while it holds it, reports usage and
+ * orders upstreams.
  */
 class duties {
  public:
@@ -25,6 +29,7 @@
 
  private:
   asio::awaitable<void> TickLease();
+  asio::awaitable<void> SizeServices();
   asio::awaitable<void> ReportDueWindows();
   asio::awaitable<void> ReportWindow(metering::window_number window);
   asio::awaitable<std::optional<std::string>> Freeze(
@@ -35,6 +40,9 @@
 
   edge_state& state_;
   lease::options options_;
+  /** Plans by service; begun anew with each holding of the lease. */
+  std::map<std::string, sizing::planner> planners_;
+  sizing::options sizing_options_;
   std::set<metering::window_number> reported_;
   metering::window_number first_window_{};
   mono_time quiet_until_;
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -163,6 +163,7 @@
         continue;
       }
       OnBegun();
+      NotePause();
       const bool taken = co_await PassOn(std::move(whole));
       if (!taken) {
         call_.Close();
@@ -192,6 +193,16 @@
     co_return written;
   }
 
+  void NotePause() {
+    const auto now = steady::now();
+    if (work_->progress.answer_begun) {
+      const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - work_->last_piece);
+      work_->longest_pause = std::max(work_->longest_pause, pause);
+    }
+    work_->last_piece = now;
+  }
+
   [[nodiscard]] platform::send_facts Facts() const {
     platform::send_facts out;
     out.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -407,6 +418,9 @@
         work.expected ? std::to_string(work.expected->count()) : "none"},
        {"begun_ms",
         work.begun_after ? std::to_string(work.begun_after->count()) : "none"},
+       {"pause_ms", std::to_string(work.longest_pause.count())},
+       {"long_prompt", work.is_long ? "yes" : "no"},
+       {"beside_long_prompts", work.beside_long ? "yes" : "no"},
        {"taken_ms", std::to_string(taken.count())}});
 }
 
@@ -453,6 +467,8 @@
     }
     work->tried.insert(ticket->incarnation);
     work->expected = ticket->expected;
+    work->is_long = ticket->is_long;
+    work->beside_long = ticket->beside_long;
     internal::attempt_result outcome;
     {
       internal::attempt attempt(state, work, *ticket, exchange);
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -34,6 +34,7 @@
                      const routing::route& route) {
   placement::job out;
   out.goal = route.goal;
+  out.pause_goal = route.pause_goal.value_or(std::chrono::milliseconds(0));
   out.parts = asked.prompt_parts;
   out.prompt_tokens = asked.prompt_tokens;
   out.answer_tokens =
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -35,6 +35,13 @@
   std::string attempts;
   std::optional<std::chrono::milliseconds> expected;
   std::optional<std::chrono::milliseconds> begun_after;
+  /** Longest time between two pieces of a stream. */
+  std::chrono::milliseconds longest_pause{};
+  std::chrono::steady_clock::time_point last_piece;
+  /** The prompt takes long to read. */
+  bool is_long{};
+  /** The upstream reads long prompts. */
+  bool beside_long{};
   /** The call in progress, so that it can be closed. */
   net::http_call* call{};
   bool caller_left{};
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 #include "base/base.h"
 
@@ -33,12 +34,6 @@
   return state.cache_tokens > 0;
 }
 
-load Total(const candidate& of) {
-  return {of.own.running + of.others.running,
-          of.own.unread_tokens + of.others.unread_tokens,
-          of.own.held_tokens + of.others.held_tokens};
-}
-
 /** Every entry orders the upstreams alike, so their borders agree. */
 in_order Ordered(const pool& state) {
   std::vector<std::pair<std::uint64_t, const candidate*>> ranked;
@@ -73,7 +68,9 @@
 }
 
 bool IsLong(const pool& state, const options& settings, const job& wanted) {
-  if (state.tightest_pause.count() == 0) {
+  const bool is_tight = wanted.pause_goal.count() > 0 &&
+                        wanted.pause_goal <= state.tightest_pause;
+  if (state.tightest_pause.count() == 0 || is_tight) {
     return false;
   }
   const double reading =
@@ -141,7 +138,7 @@
                 const candidate& at,
                 const options& settings,
                 const job& wanted) {
-  const auto all = Total(at);
+  const auto all = TotalLoad(at);
   const double goal = static_cast<double>(wanted.goal.count());
   double cost = 0;
   if (at.entry->slots > 0 && all.running >= at.entry->slots) {
@@ -164,7 +161,7 @@
 };
 
 estimate PlainEstimate(const candidate& at) {
-  const auto all = Total(at);
+  const auto all = TotalLoad(at);
   const double slots = std::max(1U, at.entry->slots);
   const double wait = at.service_ms * (1 + all.running / slots);
   return {wait, wait, 0};
@@ -176,7 +173,7 @@
                         const job& wanted,
                         bool is_home,
                         mono_time now) {
-  const auto all = Total(at);
+  const auto all = TotalLoad(at);
   const double per_token = MsPerToken(state.reading);
   const auto cached = CachedTokens(at, settings, wanted, is_home, now);
   const auto shared = SharedTokens(wanted);
@@ -259,6 +256,7 @@
   const candidate* best = nullptr;
   internal::estimate lowest;
   bool best_ejected = false;
+  bool beside_long = false;
   for (std::size_t i = 0; i < all.size(); ++i) {
     const auto& at = *all[i];
     if (!excluded.empty() &&
@@ -280,6 +278,7 @@
                         (best_ejected == ejected && found.cost < lowest.cost);
     if (better) {
       best = &at;
+      beside_long = i >= border;
       lowest = found;
       best_ejected = ejected;
     }
@@ -294,6 +293,7 @@
   out.held_tokens = wanted.prompt_tokens + wanted.answer_tokens;
   out.expected = std::chrono::milliseconds(std::llround(lowest.wait));
   out.is_long = is_long;
+  out.beside_long = beside_long;
   return out;
 }
 
@@ -372,6 +372,21 @@
   return out;
 }
 
+load TotalLoad(const candidate& of) {
+  return {of.own.running + of.others.running,
+          of.own.unread_tokens + of.others.unread_tokens,
+          of.own.held_tokens + of.others.held_tokens};
+}
+
+double WorkPerSecond(const pool& state) {
+  const auto& own = state.own_demand;
+  const auto& others = state.others_demand;
+  const double faded =
+      own.short_work + own.long_work + others.short_work + others.long_work;
+  // A steady flow stands at its rate times the mean life of what fades.
+  return faded * std::numbers::ln2 / internal::kDemandHalfLife.count();
+}
+
 void Tick(pool& state, mono_time now) {
   const std::chrono::duration<double> passed = now - state.demand_at;
   state.demand_at = now;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -34,6 +34,8 @@
   std::uint32_t answer_tokens{};
   /** Time to the first sign of the answer that is on time. */
   std::chrono::milliseconds goal{};
+  /** Longest pause in the answer that is on time; zero if any is. */
+  std::chrono::milliseconds pause_goal{};
 };
 
 /** @brief Work on one upstream. */
@@ -64,7 +66,8 @@
   /** Waiting time that one token saved from being read again is worth, as a
    * multiple of its reading time. */
   double reread_weight{3};
-  /** A prompt is long if reading it takes this part of the tightest pause. */
+  /** A prompt is long if reading it takes this part of the tightest pause, and
+   * its own stream tolerates longer ones. */
   double long_prompt_part{0.06};
   /** Waiting time charged for each request already running. */
   std::chrono::microseconds crowding{800};
@@ -117,6 +120,8 @@
   /** Expected time to the first sign of an answer. */
   std::chrono::milliseconds expected{};
   bool is_long{};
+  /** The upstream is one of those that read long prompts. */
+  bool beside_long{};
 };
 
 /** @brief Replaces the upstreams; what is known of those that stay is kept. */
@@ -173,6 +178,13 @@
 /** @brief Returns this entry's own work by incarnation, for other entries. */
 [[nodiscard]] std::map<std::string, load> OwnLoads(const pool& state);
 
+/** @brief Returns all work on an upstream, of this entry and of others. */
+[[nodiscard]] load TotalLoad(const candidate& of);
+
+/** @brief Returns the work that arrives at the service, over all entries, in
+ * prompt tokens a second. */
+[[nodiscard]] double WorkPerSecond(const pool& state);
+
 /** @brief Lets demand fade and moves the border between the two patterns. */
 void Tick(pool& state, mono_time now);
 
--- a/src/placement/read_time.cc
+++ b/src/placement/read_time.cc
@@ -12,7 +12,7 @@
 constexpr double kAssumedMsPerToken = 0.01;
 constexpr double kAssumedBaseMs = 60;
 /** Weight of the assumption, in samples. */
-constexpr double kAssumptionWeight = 5;
+constexpr double kAssumptionWeight = 2;
 /** Two prompts of the assumption, in tokens. */
 constexpr double kShortPrompt = 100;
 constexpr double kLongPrompt = 8000;
