Prove the edge daemon as a process against stand-ins of store and upstreams

Requests, streams that break inside an event, callers that leave, keys withdrawn, manifests that never go back, draining upstreams, an unreachable store, planned stops and changed settings. The daemon logs the addresses it listens on, so that tests use port 0.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -30,8 +30,6 @@
  * manifest may have lowered here. */
 constexpr int kIdleFactor = 2;
 constexpr std::chrono::milliseconds kBodyTimeout{10000};
-/** The usual port of Prometheus exporters; the deploy file names it too. */
-constexpr std::string_view kMetricsPort = "9464";
 
 net::http_response PlainText(std::string text, std::string_view type) {
   net::http_response out;
@@ -59,8 +57,11 @@
 /** @brief Everything that one entry runs, on one thread. */
 class edge_daemon {
  public:
-  edge_daemon(platform::machine_settings machine, std::string settings_path)
+  edge_daemon(platform::machine_settings machine,
+              std::string settings_path,
+              std::string metrics_port)
       : settings_path_(std::move(settings_path)),
+        metrics_port_(std::move(metrics_port)),
         state_(io_, std::move(machine)),
         gossip_(state_),
         duties_(state_),
@@ -99,13 +100,21 @@
     };
     net::server_options inner;
     inner.refuse = ConnectionRefusal;
-    for (const auto& address :
-         {state_.machine.ready_address, state_.machine.directory_address,
-          state_.machine.control_address,
-          state_.machine.ip + ':' + std::string(kMetricsPort)}) {
-      inner_.push_back(
-          std::make_unique<net::http_server>(contexts, address, inner, answer));
+    auto& machine = state_.machine;
+    machine.caller_address = callers_->Address();
+    auto metrics_address = machine.ip + ':' + metrics_port_;
+    for (auto* address : {&machine.ready_address, &machine.directory_address,
+                          &machine.control_address, &metrics_address}) {
+      inner_.push_back(std::make_unique<net::http_server>(contexts, *address,
+                                                          inner, answer));
+      *address = inner_.back()->Address();
     }
+    telemetry::Log(telemetry::level::info, "listening",
+                   {{"callers", machine.caller_address},
+                    {"ready", machine.ready_address},
+                    {"directory", machine.directory_address},
+                    {"control", machine.control_address},
+                    {"metrics", metrics_address}});
   }
 
   [[nodiscard]] net::connection_limits CurrentLimits() const {
@@ -211,6 +220,7 @@
   }
 
   std::string settings_path_;
+  std::string metrics_port_;
   asio::io_context io_{1};
   edge_state state_;
   gossip gossip_;
@@ -224,8 +234,9 @@
 }  // namespace internal
 
 int RunEdge(platform::machine_settings machine,
-            const std::string& settings_path) {
-  internal::edge_daemon daemon(std::move(machine), settings_path);
+            const std::string& settings_path,
+            const std::string& metrics_port) {
+  internal::edge_daemon daemon(std::move(machine), settings_path, metrics_port);
   return daemon.Run();
 }
 
--- a/apps/mimosadeckd/edge/daemon.h
+++ b/apps/mimosadeckd/edge/daemon.h
@@ -11,10 +11,12 @@
  * @brief Runs an entry on the users' platform until it is stopped.
  * @param machine Settings of the machine.
  * @param settings_path File that is read again at SIGHUP.
+ * @param metrics_port Port of the machine's address that serves metrics.
  * @return Exit status.
  */
 [[nodiscard]] int RunEdge(platform::machine_settings machine,
-                          const std::string& settings_path);
+                          const std::string& settings_path,
+                          const std::string& metrics_port);
 
 }  // namespace mimosadeck::edge
 
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -96,7 +96,7 @@
               udp::endpoint(asio::ip::make_address(state.machine.ip),
                             state.machine.peer_port)),
       own_address_(state.machine.ip + ':' +
-                   std::to_string(state.machine.peer_port)) {}
+                   std::to_string(socket_.local_endpoint().port())) {}
 
 void gossip::Start() {
   for (const auto& seed : state_.machine.seeds) {
--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -200,7 +200,9 @@
 }
 
 /** @brief Runs on the users' platform, whose settings file has its own form. */
-int RunOnPlatform(const std::string& path, bool check_only) {
+int RunOnPlatform(const std::string& path,
+                  const std::string& metrics_port,
+                  bool check_only) {
   std::ifstream file(path);
   std::stringstream text;
   text << file.rdbuf();
@@ -219,7 +221,7 @@
   }
   auto& machine = std::get<platform::machine_settings>(read);
   telemetry::StartLogging(machine.name, telemetry::log_target::standard_output);
-  return edge::RunEdge(std::move(machine), path);
+  return edge::RunEdge(std::move(machine), path, metrics_port);
 }
 
 std::string PlatformSettingsPath() {
@@ -262,6 +264,11 @@
         "Run on the users' platform; the file defaults to the one that the "
         "environment names",
         line);
+    TCLAP::ValueArg<std::string> metrics_port(
+        "", "metrics-port",
+        "Port that serves metrics on the users' platform; 9464 is the usual "
+        "one of Prometheus exporters",
+        false, "9464", "PORT", line);
     TCLAP::UnlabeledValueArg<std::string> file(
         "file", "Settings file, JSON with comments", false, "", "FILE", line);
     line.parse(argc, argv);
@@ -269,7 +276,7 @@
     if (platform.getValue()) {
       return run::RunOnPlatform(
           file.isSet() ? file.getValue() : run::PlatformSettingsPath(),
-          check.getValue());
+          metrics_port.getValue(), check.getValue());
     }
     return run::Run(file.getValue(), check.getValue());
   } catch (const std::exception& failure) {
--- a/test/system/deployment.cc
+++ b/test/system/deployment.cc
@@ -84,24 +84,30 @@
   close(impl_->output);
 }
 
-std::string process::Value(const std::string& word) {
-  const std::string mark = word + "=";
+std::string process::LineWith(const std::string& text) {
   while (true) {
-    const auto start = impl_->read.find(mark);
+    const auto found = impl_->read.find(text);
     const auto end =
-        start == std::string::npos ? start : impl_->read.find('\n', start);
+        found == std::string::npos ? found : impl_->read.find('\n', found);
     if (end != std::string::npos) {
-      return impl_->read.substr(start + mark.size(), end - start - mark.size());
+      const auto before = impl_->read.rfind('\n', found);
+      const auto start = before == std::string::npos ? 0 : before + 1;
+      return impl_->read.substr(start, end - start);
     }
     std::array<char, 4096> buffer{};
     const auto size = ::read(impl_->output, buffer.data(), buffer.size());
     if (size <= 0) {
-      throw std::runtime_error("a process ended before it said " + word);
+      throw std::runtime_error("a process ended before it said " + text);
     }
     impl_->read.append(buffer.data(), static_cast<std::size_t>(size));
   }
 }
 
+std::string process::Value(const std::string& word) {
+  const auto line = LineWith(word + "=");
+  return line.substr(line.find(word + "=") + word.size() + 1);
+}
+
 void process::Signal(int number) const {
   kill(impl_->pid, number);
 }
--- a/test/system/deployment.h
+++ b/test/system/deployment.h
@@ -25,6 +25,9 @@
   /** @brief Waits for the line `WORD=...` and returns the rest. */
   [[nodiscard]] std::string Value(const std::string& word);
 
+  /** @brief Waits for a line that holds a text. */
+  [[nodiscard]] std::string LineWith(const std::string& text);
+
   /** @brief Sends a signal. */
   void Signal(int number) const;
 
--- /dev/null
+++ b/test/system/edge_test.cc
@@ -0,0 +1,498 @@
+#define BOOST_TEST_MODULE edge
+#include <boost/test/included/unit_test.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform/store_stand_in.h"
+#include "system/deployment.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::platform_test::store_stand_in;
+using mimosadeck::system_test::process;
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace net = mimosadeck::net;
+
+constexpr auto kPatience = 10s;
+
+asio::awaitable<void> Sleep(asio::io_context& io,
+                            std::chrono::milliseconds time) {
+  asio::steady_timer timer(io, time);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/** An upstream whose next answers a test scripts. */
+class upstream_stand_in {
+ public:
+  enum class answer {
+    good,
+    failure,
+    not_run,
+    broken,
+    stream,
+    broken_stream,
+    slow_stream
+  };
+
+  upstream_stand_in(asio::io_context& io, std::string id)
+      : io_(io), id_(std::move(id)) {
+    server_ = std::make_unique<net::http_server>(
+        std::vector<asio::io_context*>{&io}, "127.0.0.1:0",
+        net::server_options{}, [this](auto request, auto& exchange) {
+          return Answer(std::move(request), exchange);
+        });
+  }
+
+  [[nodiscard]] std::string Entry(const std::string& state) const {
+    return json::serialize(json::object{{"service", "pool"},
+                                        {"address", server_->Address()},
+                                        {"zone", "a"},
+                                        {"version", "v1"},
+                                        {"slots", 4},
+                                        {"state", state},
+                                        {"cold_left_ms", 0},
+                                        {"seq", 1},
+                                        {"born", 5}});
+  }
+
+  answer next{answer::good};
+  std::vector<net::http_request> runs;
+  bool caller_left{};
+
+ private:
+  static net::http_fields Fields(const net::http_request& request) {
+    return {{"x-request-id", request.fields.at("x-request-id")},
+            {"x-server-stamp", "stamp"}};
+  }
+
+  asio::awaitable<void> Answer(net::http_request request,
+                               net::exchange& exchange) {
+    net::http_response response;
+    response.fields = Fields(request);
+    if (next == answer::not_run) {
+      response.status = 503;
+      response.fields["x-not-executed"] = "1";
+      co_await exchange.Respond(std::move(response));
+      co_return;
+    }
+    runs.push_back(request);
+    switch (next) {
+      case answer::good:
+        response.body = "from " + id_;
+        break;
+      case answer::failure:
+        response.status = 500;
+        break;
+      case answer::broken:
+        exchange.CutOff();
+        co_return;
+      case answer::stream:
+      case answer::broken_stream:
+      case answer::slow_stream:
+        co_await Stream(std::move(request), exchange);
+        co_return;
+      case answer::not_run:
+        break;
+    }
+    co_await exchange.Respond(std::move(response));
+  }
+
+  asio::awaitable<void> Stream(net::http_request request,
+                               net::exchange& exchange) {
+    exchange.WatchCaller([this] { caller_left = true; });
+    auto fields = Fields(request);
+    fields["content-type"] = "text/event-stream";
+    co_await exchange.BeginStream(200, std::move(fields));
+    const auto after = request.fields.find("last-event-id");
+    const int first =
+        after == request.fields.end() ? 1 : std::stoi(after->second) + 1;
+    const bool breaks = next == answer::broken_stream && first == 1;
+    const auto pause = next == answer::slow_stream ? 150ms : 5ms;
+    for (int i = first; i <= 6 && !caller_left; ++i) {
+      auto event = "id: " + std::to_string(i) + "\ndata: x\n\n";
+      if (breaks && i == 4) {
+        auto half = event.substr(0, 7);
+        co_await exchange.WriteChunk(std::move(half));
+        exchange.CutOff();
+        co_return;
+      }
+      co_await exchange.WriteChunk(std::move(event));
+      co_await Sleep(io_, pause);
+    }
+    co_await exchange.EndStream();
+  }
+
+  asio::io_context& io_;
+  std::string id_;
+  std::unique_ptr<net::http_server> server_;
+};
+
+std::string WholeStream() {
+  std::string out;
+  for (int i = 1; i <= 6; ++i) {
+    out += "id: " + std::to_string(i) + "\ndata: x\n\n";
+  }
+  return out;
+}
+
+json::object Route(const std::string& prefix,
+                   const std::string& kind,
+                   int attempts,
+                   bool resumable) {
+  return {
+      {"name", prefix},  {"host", "h.example"},    {"prefix", prefix},
+      {"kind", kind},    {"timeout_ms", 3000},     {"goal_ms", 300},
+      {"priority", 0},   {"service", "pool"},      {"max_attempts", attempts},
+      {"public", false}, {"can_resume", resumable}};
+}
+
+std::string Manifest(int version, const std::string& key) {
+  return json::serialize(
+      json::object{{"version", version},
+                   {"routes",
+                    {Route("/safe/", "safe", 2, false),
+                     Route("/unsafe/", "unsafe", 1, false),
+                     Route("/resume/", "stream", 2, true),
+                     Route("/once/", "stream", 1, false)}},
+                   {"services", {{{"name", "pool"}, {"max_conns", 50}}}},
+                   {"tenants", {{{"name", "parish"}, {"api_keys", {key}}}}}});
+}
+
+/** One entry, a store and two upstreams. */
+struct one_entry {
+  using answer = upstream_stand_in::answer;
+  asio::io_context io{1};
+  store_stand_in store{io};
+  upstream_stand_in first{io, "u1"};
+  upstream_stand_in second{io, "u2"};
+  net::connection_cache cache{4};
+  std::filesystem::path settings;
+  std::unique_ptr<process> entry;
+  std::string callers;
+  std::string ready;
+  std::string directory;
+
+  one_entry() {
+    store.Put("op", "config", Manifest(1, "k1"));
+    store.Put("servers", "u1", first.Entry("ready"));
+    store.Put("servers", "u2", second.Entry("ready"));
+    Start();
+    BOOST_REQUIRE(
+        Eventually([this] { return Ask(ready, "/v1/ready").status == 200; }));
+  }
+
+  ~one_entry() {
+    entry.reset();
+    std::filesystem::remove(settings);
+  }
+
+  void Start() {
+    settings = std::filesystem::temp_directory_path() /
+               ("edge_test." + std::to_string(getpid()) + ".json");
+    const json::object listen{{"front", "127.0.0.1:0"},
+                              {"ready", "127.0.0.1:0"},
+                              {"control", "127.0.0.1:0"},
+                              {"directory", "127.0.0.1:0"}};
+    const json::object content{
+        {"node_name", "entry-1"},
+        {"ip", "127.0.0.1"},
+        {"zone", "a"},
+        {"listen", listen},
+        {"port_range", {0, 0}},
+        {"bounds", {{"grace_s", 4}}},
+        {"provider", {{"address", store.Address()}}},
+        {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
+    std::ofstream(settings) << json::serialize(content);
+    entry = std::make_unique<process>(
+        "entry",
+        std::vector<std::string>{
+            std::string(std::getenv("MIMOSADECK_BUILD")) + "/apps/mimosadeckd",
+            "--platform", "--metrics-port", "0", settings.string()});
+    const auto line = json::parse(entry->LineWith("\"listening\"")).as_object();
+    callers = json::value_to<std::string>(line.at("callers"));
+    ready = json::value_to<std::string>(line.at("ready"));
+    directory = json::value_to<std::string>(line.at("directory"));
+  }
+
+  asio::awaitable<void> Exchange(std::string address,
+                                 net::http_request request,
+                                 net::http_response& out,
+                                 bool& whole) {
+    net::http_call call(cache, io.get_executor());
+    net::call_options options;
+    options.server = address;
+    options.address = std::move(address);
+    options.deadline = std::chrono::steady_clock::now() + kPatience;
+    auto failed = co_await call.Send(std::move(request), std::move(options));
+    if (failed) {
+      co_return;
+    }
+    out.status = call.Status();
+    out.fields = call.Fields();
+    while (true) {
+      auto piece = co_await call.ReadPiece();
+      const auto* bytes = std::get_if<std::string>(&piece);
+      whole = bytes && bytes->empty();
+      if (!bytes || bytes->empty()) {
+        co_return;
+      }
+      out.body += *bytes;
+    }
+  }
+
+  struct reply {
+    int status{};
+    std::string body;
+    net::http_fields fields;
+    bool whole{};
+  };
+
+  reply Send(const std::string& address, net::http_request request) {
+    net::http_response response;
+    response.status = 0;
+    bool whole = false;
+    bool done = false;
+    auto work = Exchange(address, std::move(request), response, whole);
+    asio::co_spawn(io, std::move(work),
+                   [&done](std::exception_ptr) { done = true; });
+    io.restart();
+    while (!done) {
+      io.run_one();
+    }
+    return {response.status, response.body, response.fields, whole};
+  }
+
+  reply Ask(const std::string& address, const std::string& target) {
+    net::http_request request;
+    request.target = target;
+    return Send(address, std::move(request));
+  }
+
+  net::http_request Request(const std::string& target,
+                            const std::string& key = "k1") {
+    net::http_request out;
+    out.method = "POST";
+    out.target = target;
+    out.fields = {{"host", "h.example"},
+                  {"x-request-id", "id-" + std::to_string(++last_id)},
+                  {"x-request-deadline-ms", "2500"},
+                  {"x-tenant", "forged"}};
+    if (!key.empty()) {
+      out.fields["x-api-key"] = key;
+    }
+    out.body = "the body";
+    return out;
+  }
+
+  reply Call(const std::string& target, const std::string& key = "k1") {
+    return Send(callers, Request(target, key));
+  }
+
+  bool Eventually(const std::function<bool()>& holds) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (std::chrono::steady_clock::now() < end) {
+      if (holds()) {
+        return true;
+      }
+      io.restart();
+      io.run_for(20ms);
+    }
+    return false;
+  }
+
+  std::size_t Runs() const { return first.runs.size() + second.runs.size(); }
+
+  void SetAnswers(answer next) { first.next = second.next = next; }
+
+  int last_id{};
+};
+
+BOOST_FIXTURE_TEST_SUITE(requests, one_entry)
+
+BOOST_AUTO_TEST_CASE(request_arrives_unchanged_for_the_keys_account) {
+  const auto got = Call("/safe/x?y=1");
+  BOOST_TEST(got.status == 200);
+  BOOST_TEST(got.fields.at("x-server-stamp") == "stamp");
+  BOOST_REQUIRE(Runs() == 1);
+  const auto& run = first.runs.empty() ? second.runs[0] : first.runs[0];
+  BOOST_TEST(run.target == "/safe/x?y=1");
+  BOOST_TEST(run.body == "the body");
+  BOOST_TEST(run.fields.at("x-tenant") == "parish");
+  BOOST_TEST(!run.fields.contains("x-api-key"));
+  BOOST_TEST(std::stoi(run.fields.at("x-request-deadline-ms")) <= 2500);
+}
+
+BOOST_AUTO_TEST_CASE(request_without_right_is_refused_by_its_reason) {
+  BOOST_TEST(Call("/safe/x", "").status == 401);
+  BOOST_TEST(Call("/safe/x", "k9").status == 401);
+  BOOST_TEST(Call("/none/x").status == 404);
+  auto nameless = Request("/safe/x");
+  nameless.fields.erase("x-request-id");
+  BOOST_TEST(Send(callers, nameless).status == 400);
+  BOOST_TEST(Runs() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(idempotent_request_that_failed_runs_elsewhere) {
+  SetAnswers(answer::failure);
+  BOOST_TEST(Call("/safe/x").status == 500);
+  BOOST_TEST(first.runs.size() == 1);
+  BOOST_TEST(second.runs.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(booking_whose_connection_broke_is_not_sent_again) {
+  SetAnswers(answer::broken);
+  BOOST_TEST(Call("/unsafe/x").status == 502);
+  BOOST_TEST(Runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(booking_refused_by_every_upstream_is_not_run) {
+  SetAnswers(answer::not_run);
+  const auto got = Call("/unsafe/x");
+  BOOST_TEST(got.status == 503);
+  BOOST_TEST(got.fields.contains("retry-after"));
+  BOOST_TEST(Runs() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(streams, one_entry)
+
+BOOST_AUTO_TEST_CASE(stream_is_passed_on_whole) {
+  SetAnswers(answer::stream);
+  const auto got = Call("/once/x");
+  BOOST_TEST(got.whole);
+  BOOST_TEST(got.body == WholeStream());
+}
+
+BOOST_AUTO_TEST_CASE(stream_broken_inside_an_event_goes_on_elsewhere) {
+  SetAnswers(answer::broken_stream);
+  const auto got = Call("/resume/x");
+  BOOST_TEST(got.whole);
+  BOOST_TEST(got.body == WholeStream());
+  BOOST_TEST(Runs() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_cannot_go_on_does_not_look_complete) {
+  SetAnswers(answer::broken_stream);
+  const auto got = Call("/once/x");
+  BOOST_TEST(!got.whole);
+  BOOST_TEST(got.body.ends_with("id: 3\ndata: x\n\n"));
+  BOOST_TEST(Runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_leaves_frees_the_upstream) {
+  SetAnswers(answer::slow_stream);
+  {
+    net::http_call call(cache, io.get_executor());
+    bool began = false;
+    auto work = [&]() -> asio::awaitable<void> {
+      net::call_options options;
+      options.server = options.address = callers;
+      options.deadline = std::chrono::steady_clock::now() + kPatience;
+      auto request = Request("/once/x");
+      static_cast<void>(
+          co_await call.Send(std::move(request), std::move(options)));
+      began = true;
+    };
+    auto body = work();
+    asio::co_spawn(io, std::move(body), asio::detached);
+    BOOST_REQUIRE(Eventually([&] { return began; }));
+    call.Close();
+  }
+  BOOST_TEST(
+      Eventually([this] { return first.caller_left || second.caller_left; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(changes, one_entry)
+
+BOOST_AUTO_TEST_CASE(withdrawn_key_stops_working) {
+  BOOST_TEST(Call("/safe/x").status == 200);
+  store.Put("op", "config", Manifest(2, "k2"));
+  BOOST_TEST(Eventually([this] { return Call("/safe/x").status == 401; }));
+  BOOST_TEST(Call("/safe/x", "k2").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(older_manifest_is_never_put_in_force) {
+  store.Put("op", "config", Manifest(5, "k2"));
+  BOOST_TEST(Eventually([this] { return Call("/safe/x").status == 401; }));
+  store.Put("op", "config", Manifest(4, "k1"));
+  io.restart();
+  io.run_for(500ms);
+  BOOST_TEST(Call("/safe/x", "k2").status == 200);
+  BOOST_TEST(Call("/safe/x", "k1").status == 401);
+}
+
+BOOST_AUTO_TEST_CASE(draining_upstream_gets_no_new_work) {
+  store.Put("servers", "u1", first.Entry("draining"));
+  io.restart();
+  io.run_for(800ms);
+  first.runs.clear();
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(Call("/safe/x").status == 200);
+  }
+  BOOST_TEST(first.runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(store_out_of_reach_stops_no_traffic) {
+  store.fault = mimosadeck::platform_test::store_fault::reset;
+  io.restart();
+  io.run_for(1s);
+  BOOST_TEST(Call("/unsafe/x").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(stopping, one_entry)
+
+BOOST_AUTO_TEST_CASE(planned_stop_cuts_no_stream_and_takes_the_entry_out) {
+  SetAnswers(answer::slow_stream);
+  net::http_response response;
+  bool whole = false;
+  bool done = false;
+  auto work = Exchange(callers, Request("/once/x"), response, whole);
+  asio::co_spawn(io, std::move(work),
+                 [&done](std::exception_ptr) { done = true; });
+  BOOST_REQUIRE(Eventually([this] { return Runs() == 1; }));
+  entry->Signal(SIGTERM);
+  BOOST_TEST(
+      Eventually([this] { return Ask(ready, "/v1/ready").status == 503; }));
+  BOOST_TEST(Ask(directory, "/v1/resolve?name=h&zone=a").status == 503);
+  BOOST_TEST(Eventually([&] { return done; }));
+  BOOST_TEST(whole);
+  BOOST_TEST(response.body == WholeStream());
+  BOOST_TEST(Eventually([this] { return !entry->IsRunning(); }));
+}
+
+BOOST_AUTO_TEST_CASE(changed_settings_cut_nothing) {
+  SetAnswers(answer::slow_stream);
+  net::http_response response;
+  bool whole = false;
+  bool done = false;
+  auto work = Exchange(callers, Request("/once/x"), response, whole);
+  asio::co_spawn(io, std::move(work),
+                 [&done](std::exception_ptr) { done = true; });
+  BOOST_REQUIRE(Eventually([this] { return Runs() == 1; }));
+  entry->Signal(SIGHUP);
+  BOOST_TEST(Eventually([&] { return done; }));
+  BOOST_TEST(whole);
+  BOOST_TEST(entry->IsRunning());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
