Let relays add up the work of a large fleet

Change: above 16 members each entry sends its digest to two relays of each data centre, ranked alike by all; a relay sends each follower the sum of all others' work and, every 750 ms, records of who is there. The registry's changes are gathered for 750 ms there.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -1,5 +1,6 @@
 #include "mimosadeckd/edge/gossip.h"
 
+#include <algorithm>
 #include <set>
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,8 +17,6 @@
 namespace internal {
 namespace {
 
-/** Time between two digests with billing counts and suspects. */
-constexpr std::chrono::milliseconds kFullInterval{750};
 /** Contenders for the lease that get the billing counts beside its holder. */
 constexpr std::size_t kCountTakers = 2;
 /** Suspects are told for so long after their last crash. */
@@ -26,6 +25,8 @@
 constexpr std::size_t kWindowsTold = 3;
 constexpr std::size_t kMostSuspectsTold = 8;
 constexpr std::size_t kMostPeersTold = 8;
+/** Keeps a datagram below 3 KB. */
+constexpr std::size_t kRecordsPerDatagram = 16;
 constexpr std::size_t kMostDatagramBytes = 60000;
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
@@ -118,7 +119,7 @@
 }
 
 void gossip::Announce() {
-  SendToAll(true);
+  SendDigests(true);
 }
 
 void gossip::AddPeer(const std::string& address) {
@@ -146,9 +147,36 @@
 }
 
 void gossip::Take(const std::string& bytes, const std::string& sender) {
-  wire::digest received;
-  if (!received.ParseFromString(bytes) || received.name().empty() ||
-      received.name() == state_.machine.name) {
+  wire::datagram received;
+  if (!received.ParseFromString(bytes)) {
+    state_.metrics.Count("mimosadeck_datagrams_unreadable_total", "peer",
+                         sender);
+    return;
+  }
+  if (received.has_digest()) {
+    TakeDigest(std::move(*received.mutable_digest()), sender);
+  } else if (received.has_summary()) {
+    auto& summary = *received.mutable_summary();
+    for (const auto& told : summary.suspects()) {
+      TakeSuspect(told);
+    }
+    for (const auto& told : summary.members()) {
+      AddPeer(told.peer_address());
+    }
+    fleet::OnSummary(state_.members, std::move(summary), state_.machine.name,
+                     std::chrono::system_clock::now(), SuspendAwareNow());
+  }
+}
+
+void gossip::TakeSuspect(const wire::suspect& told) {
+  quarantine::suspect known;
+  known.crashes = {told.crashes().begin(), told.crashes().end()};
+  quarantine::Merge(state_.ward, state_.quarantine_options, told.fingerprint(),
+                    known, SuspendAwareNow());
+}
+
+void gossip::TakeDigest(wire::digest received, const std::string& sender) {
+  if (received.name().empty() || received.name() == state_.machine.name) {
     return;
   }
   const auto now = SuspendAwareNow();
@@ -165,10 +193,7 @@
     metering::Merge(state_.tally, source, told.window(), counts);
   }
   for (const auto& told : received.suspects()) {
-    quarantine::suspect known;
-    known.crashes = {told.crashes().begin(), told.crashes().end()};
-    quarantine::Merge(state_.ward, state_.quarantine_options,
-                      told.fingerprint(), known, now);
+    TakeSuspect(told);
   }
   const auto name = received.name();
   const bool is_new = !state_.members.by_name.contains(name);
@@ -201,8 +226,9 @@
   return out;
 }
 
-void gossip::Send(const std::string& bytes, const std::string& address) {
+void gossip::Send(const wire::datagram& content, const std::string& address) {
   const auto target = net::ParseEndpoint(address);
+  const auto bytes = content.SerializeAsString();
   boost::system::error_code failure;
   socket_.send_to(asio::buffer(bytes),
                   udp::endpoint(target.address(), target.port()), 0, failure);
@@ -212,37 +238,130 @@
   }
 }
 
-void gossip::SendToAll(bool is_full) {
-  auto digest = MakeDigest();
+void gossip::SendDigests(bool is_full) {
+  const auto now = SuspendAwareNow();
+  const auto& options = state_.fleet_options;
+  std::set<std::string> relays;
+  for (const auto* each : fleet::Relays(state_.members, options, now)) {
+    relays.insert(each->peer_address);
+  }
+  std::set<std::string> takers;
+  if (is_full) {
+    for (const auto* each : fleet::CountTakers(state_.members, options,
+                                               internal::kCountTakers, now)) {
+      takers.insert(each->peer_address);
+    }
+  }
+  wire::datagram plain;
+  *plain.mutable_digest() = MakeDigest();
+  plain.mutable_digest()->set_wants_summary(
+      !fleet::IsDense(state_.members, options));
   if (is_full) {
-    internal::FillSuspects(state_, digest);
+    internal::FillSuspects(state_, *plain.mutable_digest());
     std::size_t left = internal::kMostPeersTold;
     for (const auto& [name, member] : state_.members.by_name) {
       if (left-- == 0) {
         break;
       }
-      digest.add_known_peers(member.peer_address);
+      plain.mutable_digest()->add_known_peers(member.peer_address);
     }
   }
-  const auto plain = digest.SerializeAsString();
+  auto with_counts = plain;
+  internal::FillCounts(state_, *with_counts.mutable_digest());
+  with_counts.mutable_digest()->set_wants_summary(false);
+  const auto live_for = fleet::LiveFor(state_.members, options);
+  const bool is_trial = sequence_ % internal::kDigestsPerTrial == 0;
+  for (const auto& [address, heard_at] : peers_) {
+    // Peers that were never heard, or no longer, are tried now and then.
+    const bool is_unheard =
+        is_trial && now - heard_at > live_for && !IsKnownLive(address, now);
+    const bool is_new = now - heard_at <= live_for && !IsKnown(address);
+    if (takers.contains(address)) {
+      Send(with_counts, address);
+    }
+    if (relays.contains(address) || is_unheard || is_new) {
+      Send(plain, address);
+    }
+  }
+}
+
+void gossip::SendSummaries(bool is_full) {
   const auto now = SuspendAwareNow();
-  std::set<std::string> takers;
+  const auto followers = fleet::Followers(state_.members, state_.fleet_options,
+                                          state_.machine.data_centre, now);
+  if (followers.empty()) {
+    return;
+  }
+  const auto own = MakeDigest();
+  const auto sum = fleet::AddUp(state_.members, state_.fleet_options, own, now);
+  std::vector<wire::datagram> records;
   if (is_full) {
-    for (const auto* each :
-         fleet::CountTakers(state_.members, state_.fleet_options,
-                            internal::kCountTakers, now)) {
-      takers.insert(each->peer_address);
+    records = MakeRecords(own, now);
+  }
+  for (const auto* each : followers) {
+    wire::datagram work;
+    *work.mutable_summary() = sum;
+    fleet::Subtract(*work.mutable_summary(), each->last);
+    Send(work, each->peer_address);
+    for (const auto& part : records) {
+      Send(part, each->peer_address);
     }
   }
-  internal::FillCounts(state_, digest);
-  const auto with_counts = digest.SerializeAsString();
-  const auto live_for = fleet::LiveFor(state_.members, state_.fleet_options);
-  const bool is_trial = sequence_ % internal::kDigestsPerTrial == 0;
-  for (const auto& [address, heard_at] : peers_) {
-    if (is_trial || now - heard_at <= live_for) {
-      Send(takers.contains(address) ? with_counts : plain, address);
+}
+
+std::vector<wire::datagram> gossip::MakeRecords(const wire::digest& own,
+                                                mono_time now) {
+  std::vector<wire::relayed_member> all;
+  const auto add = [&all](const wire::digest& record,
+                          const std::string& address,
+                          std::chrono::milliseconds age) {
+    auto& told = all.emplace_back();
+    *told.mutable_record() = record;
+    auto& kept = *told.mutable_record();
+    kept.clear_loads();
+    kept.clear_demands();
+    kept.clear_windows();
+    kept.clear_suspects();
+    kept.clear_known_peers();
+    kept.clear_wants_summary();
+    told.set_peer_address(address);
+    told.set_age_ms(static_cast<std::uint32_t>(age.count()));
+  };
+  add(own, own_address_, std::chrono::milliseconds(0));
+  for (const auto* each :
+       fleet::Live(state_.members, state_.fleet_options, now)) {
+    add(each->last, each->peer_address,
+        std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                              each->heard_at));
+  }
+  wire::digest news;
+  internal::FillSuspects(state_, news);
+  std::vector<wire::datagram> out;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (i % internal::kRecordsPerDatagram == 0) {
+      auto& summary = *out.emplace_back().mutable_summary();
+      summary.set_relay(own.name());
+      if (out.size() == 1) {
+        *summary.mutable_suspects() = news.suspects();
+      }
     }
+    *out.back().mutable_summary()->add_members() = std::move(all[i]);
   }
+  return out;
+}
+
+bool gossip::IsKnown(const std::string& address) const {
+  const auto& all = state_.members.by_name;
+  return std::any_of(all.begin(), all.end(), [&address](const auto& each) {
+    return each.second.peer_address == address;
+  });
+}
+
+bool gossip::IsKnownLive(const std::string& address, mono_time now) const {
+  const auto live = fleet::Live(state_.members, state_.fleet_options, now);
+  return std::any_of(live.begin(), live.end(), [&address](const auto* each) {
+    return each->peer_address == address;
+  });
 }
 
 asio::awaitable<void> gossip::SendLoop() {
@@ -258,11 +377,12 @@
       placement::Tick(pool, now);
     }
     RefreshOthersLoad(state_);
-    const bool is_full = now - full_at >= internal::kFullInterval;
+    const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
     }
-    SendToAll(is_full);
+    SendDigests(is_full);
+    SendSummaries(is_full);
     co_await Sleep(fleet::DigestInterval(state_.members, state_.fleet_options));
   }
 }
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -35,10 +36,18 @@
   asio::awaitable<void> SendLoop();
   asio::awaitable<void> Register();
   void Take(const std::string& bytes, const std::string& sender);
+  void TakeDigest(wire::digest received, const std::string& sender);
+  void TakeSuspect(const wire::suspect& told);
   void AddPeer(const std::string& address);
   [[nodiscard]] wire::digest MakeDigest();
-  void Send(const std::string& bytes, const std::string& address);
-  void SendToAll(bool is_full);
+  void Send(const wire::datagram& content, const std::string& address);
+  void SendDigests(bool is_full);
+  void SendSummaries(bool is_full);
+  [[nodiscard]] std::vector<wire::datagram> MakeRecords(const wire::digest& own,
+                                                        mono_time now);
+  [[nodiscard]] bool IsKnown(const std::string& address) const;
+  [[nodiscard]] bool IsKnownLive(const std::string& address,
+                                 mono_time now) const;
 
   edge_state& state_;
   asio::ip::udp::socket socket_;
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -76,32 +76,56 @@
   }
 }
 
-void RefreshOthersLoad(edge_state& state) {
-  const auto live =
-      fleet::Live(state.members, state.fleet_options, SuspendAwareNow());
-  std::map<std::uint64_t, placement::load> by_hash;
+namespace internal {
+namespace {
+
+/** @brief Work told by others, by the hash of upstream and service. */
+struct told_work {
+  std::map<std::uint64_t, placement::load> loads;
   std::map<std::uint64_t, placement::demand> demands;
-  for (const auto* each : live) {
-    for (const auto& told : each->last.loads()) {
-      auto& sum = by_hash[told.upstream()];
+
+  template <typename Message>
+  void Add(const Message& from) {
+    for (const auto& told : from.loads()) {
+      auto& sum = loads[told.upstream()];
       sum.running += told.running();
       sum.unread_tokens += told.unread_tokens();
       sum.held_tokens += told.held_tokens();
     }
-    for (const auto& told : each->last.demands()) {
+    for (const auto& told : from.demands()) {
       auto& sum = demands[told.service()];
       sum.short_work += told.short_work();
       sum.long_work += told.long_work();
     }
   }
+};
+
+}  // namespace
+}  // namespace internal
+
+void RefreshOthersLoad(edge_state& state) {
+  const auto now = SuspendAwareNow();
+  const auto live_for = fleet::LiveFor(state.members, state.fleet_options);
+  const auto& summary = state.members.work;
+  internal::told_work work;
+  if (summary && !fleet::IsDense(state.members, state.fleet_options) &&
+      now - summary->heard_at <= live_for) {
+    work.Add(summary->told);
+  } else {
+    for (const auto* each :
+         fleet::Live(state.members, state.fleet_options, now)) {
+      work.Add(each->last);
+    }
+  }
   for (auto& [name, pool] : state.pools) {
     std::map<std::string, placement::load> loads;
     for (const auto& [incarnation, found] : pool.candidates) {
-      if (const auto told = by_hash.find(found.rank); told != by_hash.end()) {
+      if (const auto told = work.loads.find(found.rank);
+          told != work.loads.end()) {
         loads[incarnation] = told->second;
       }
     }
-    placement::SetOthers(pool, loads, demands[Hash64(name)]);
+    placement::SetOthers(pool, loads, work.demands[Hash64(name)]);
   }
 }
 
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -10,6 +10,9 @@
 constexpr std::chrono::milliseconds kStorePause{300};
 /** Entries change in bursts: one call then brings them together. */
 constexpr std::chrono::milliseconds kGatherTime{250};
+/** The same where many entries ask; it stays well below the two seconds in
+ * which a leaving upstream must be known. */
+constexpr std::chrono::milliseconds kLongGatherTime{750};
 /** Interval at which entries are compared. */
 constexpr std::chrono::milliseconds kCompareInterval{100};
 /** The store usually brings a new manifest within this time. */
@@ -217,7 +220,9 @@
     state.registry_fresh_at = now;
     state.registry_followed = true;
     RefreshPools(state);
-    co_await Sleep(internal::kGatherTime);
+    co_await Sleep(fleet::IsDense(state.members, state.fleet_options)
+                       ? internal::kGatherTime
+                       : internal::kLongGatherTime);
   }
 }
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -55,28 +55,167 @@
   const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(
       wall.time_since_epoch());
   slot.clock_ahead = std::chrono::milliseconds(received.wall_ms()) - own;
+  if (received.wants_summary()) {
+    slot.asked_at = now;
+  }
   slot.last = std::move(received);
   slot.peer_address = peer_address;
   slot.heard_at = now;
   return true;
 }
 
+void OnSummary(members& state,
+               wire::summary received,
+               std::string_view self,
+               wall_time wall,
+               mono_time now) {
+  const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(
+      wall.time_since_epoch());
+  for (auto& told : *received.mutable_members()) {
+    if (told.record().name() == self || told.record().name().empty()) {
+      continue;
+    }
+    auto& slot = state.by_name[told.record().name()];
+    const std::chrono::milliseconds age(told.age_ms());
+    const auto heard_at = now - age;
+    if (!slot.peer_address.empty() &&
+        (heard_at <= slot.heard_at ||
+         internal::IsOlder(told.record(), slot.last))) {
+      continue;
+    }
+    slot.clock_ahead =
+        std::chrono::milliseconds(told.record().wall_ms()) + age - own;
+    slot.last = std::move(*told.mutable_record());
+    slot.peer_address = told.peer_address();
+    slot.heard_at = heard_at;
+  }
+  if (received.members_size() > 0) {
+    return;
+  }
+  received.clear_suspects();
+  state.work = fleet_work{std::move(received), now};
+}
+
+std::vector<const member*> Relays(const members& state,
+                                  const options& settings,
+                                  mono_time now) {
+  auto live = Live(state, settings, now);
+  if (IsDense(state, settings)) {
+    return live;
+  }
+  std::sort(live.begin(), live.end(), [](const auto* a, const auto* b) {
+    return Hash64(a->last.name()) < Hash64(b->last.name());
+  });
+  std::map<std::string, std::size_t> taken;
+  std::vector<const member*> out;
+  for (const auto* each : live) {
+    if (taken[each->last.data_centre()]++ < settings.relays) {
+      out.push_back(each);
+    }
+  }
+  return out;
+}
+
+std::vector<const member*> Followers(const members& state,
+                                     const options& settings,
+                                     std::string_view data_centre,
+                                     mono_time now) {
+  std::vector<const member*> out;
+  if (IsDense(state, settings)) {
+    return out;
+  }
+  for (const auto& [name, found] : state.by_name) {
+    if (found.last.data_centre() == data_centre && found.asked_at &&
+        now - *found.asked_at <= LiveFor(state, settings)) {
+      out.push_back(&found);
+    }
+  }
+  return out;
+}
+
+wire::summary AddUp(const members& state,
+                    const options& settings,
+                    const wire::digest& own,
+                    mono_time now) {
+  std::map<std::uint64_t, wire::upstream_load> loads;
+  std::map<std::uint64_t, wire::service_demand> demands;
+  const auto add = [&](const wire::digest& from) {
+    for (const auto& told : from.loads()) {
+      auto& sum = loads[told.upstream()];
+      sum.set_running(sum.running() + told.running());
+      sum.set_unread_tokens(sum.unread_tokens() + told.unread_tokens());
+      sum.set_held_tokens(sum.held_tokens() + told.held_tokens());
+    }
+    for (const auto& told : from.demands()) {
+      auto& sum = demands[told.service()];
+      sum.set_short_work(sum.short_work() + told.short_work());
+      sum.set_long_work(sum.long_work() + told.long_work());
+    }
+  };
+  add(own);
+  for (const auto* each : Live(state, settings, now)) {
+    add(each->last);
+  }
+  wire::summary out;
+  out.set_relay(own.name());
+  for (auto& [upstream, sum] : loads) {
+    sum.set_upstream(upstream);
+    *out.add_loads() = sum;
+  }
+  for (auto& [service, sum] : demands) {
+    sum.set_service(service);
+    *out.add_demands() = sum;
+  }
+  return out;
+}
+
 void Tick(members& state, const options& settings, mono_time now) {
   std::erase_if(state.by_name, [&](const auto& each) {
     return now - each.second.heard_at > settings.forgotten_after;
   });
 }
 
+bool IsDense(const members& state, const options& settings) {
+  return state.by_name.size() + 1 <= settings.dense_fleet;
+}
+
 std::chrono::milliseconds DigestInterval(const members& state,
                                          const options& settings) {
-  const auto size = std::max(state.by_name.size() + 1, settings.dense_fleet);
-  return settings.shortest_interval * size / settings.dense_fleet;
+  const auto size = std::max(state.by_name.size() + 1, settings.relayed_fleet);
+  return settings.shortest_interval * size / settings.relayed_fleet;
 }
 
 std::chrono::milliseconds LiveFor(const members& state,
                                   const options& settings) {
-  return DigestInterval(state, settings) * settings.missed_digests +
-         settings.live_slack;
+  const auto direct =
+      DigestInterval(state, settings) * settings.missed_digests +
+      settings.live_slack;
+  return IsDense(state, settings) ? direct : direct + settings.record_interval;
+}
+
+void Subtract(wire::summary& sum, const wire::digest& of) {
+  const auto less = [](std::uint32_t from, std::uint32_t amount) {
+    return from > amount ? from - amount : 0;
+  };
+  for (const auto& told : of.loads()) {
+    for (auto& each : *sum.mutable_loads()) {
+      if (each.upstream() == told.upstream()) {
+        each.set_running(less(each.running(), told.running()));
+        each.set_unread_tokens(
+            less(each.unread_tokens(), told.unread_tokens()));
+        each.set_held_tokens(less(each.held_tokens(), told.held_tokens()));
+      }
+    }
+  }
+  for (const auto& told : of.demands()) {
+    for (auto& each : *sum.mutable_demands()) {
+      if (each.service() == told.service()) {
+        each.set_short_work(
+            std::max(0.0F, each.short_work() - told.short_work()));
+        each.set_long_work(std::max(0.0F, each.long_work() - told.long_work()));
+      }
+    }
+  }
 }
 
 bool IsLive(const members& state,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -17,11 +17,18 @@
 
 /** @brief Settings of the fleet's view. */
 struct options {
-  /** Interval of digests in a fleet of up to `dense_fleet` members. */
+  /** Interval of digests. */
   std::chrono::milliseconds shortest_interval{150};
-  /** In larger fleets the interval grows with the fleet, so that a member takes
-   * the same number of digests a second in any. */
+  /** Up to so many members tell each other everything; larger fleets use
+   * relays. */
   std::size_t dense_fleet{16};
+  /** Relays in each data centre of a large fleet, so that one may fail. */
+  std::size_t relays{2};
+  /** Beyond this size the interval grows with the fleet, so that a relay takes
+   * the same number of digests a second. */
+  std::size_t relayed_fleet{64};
+  /** Interval at which relays tell who the members are. */
+  std::chrono::milliseconds record_interval{750};
   /** Digests that may be missed before a member counts as silent. */
   int missed_digests{3};
   /** Added to that: a digest may wait behind other traffic. */
@@ -39,13 +46,23 @@
   /** `IP:PORT` from which its digests come. */
   std::string peer_address;
   mono_time heard_at;
+  /** When it last asked this entry for its view of the fleet. */
+  std::optional<mono_time> asked_at;
   /** Its calendar clock less ours, when its digest came. */
   std::chrono::milliseconds clock_ahead{};
 };
 
+/** @brief The work of all entries, as a relay adds it up. */
+struct fleet_work {
+  wire::summary told;
+  mono_time heard_at;
+};
+
 /** @brief All other entries, by name. */
 struct members {
   std::map<std::string, member> by_name;
+  /** The newest summary; unset before one came. */
+  std::optional<fleet_work> work;
 };
 
 /**
@@ -59,6 +76,50 @@
               wall_time wall,
               mono_time now);
 
+/**
+ * @brief Takes a relay's summary: the work of all, and records of members that
+ * are fresher than what is known.
+ */
+void OnSummary(members& state,
+               wire::summary received,
+               std::string_view self,
+               wall_time wall,
+               mono_time now);
+
+/** @brief Tells whether members tell each other everything. */
+[[nodiscard]] bool IsDense(const members& state, const options& settings);
+
+/**
+ * @brief Returns the members to which this entry sends its digests.
+ *
+ * In a large fleet these are the relays of each data centre, which every entry
+ * ranks alike.
+ */
+[[nodiscard]] std::vector<const member*> Relays(const members& state,
+                                                const options& settings,
+                                                mono_time now);
+
+/** @brief Returns the members that take their view from this entry. */
+[[nodiscard]] std::vector<const member*> Followers(const members& state,
+                                                   const options& settings,
+                                                   std::string_view data_centre,
+                                                   mono_time now);
+
+/**
+ * @brief Adds up the work of all members heard lately.
+ * @param own This entry's digest.
+ */
+[[nodiscard]] wire::summary AddUp(const members& state,
+                                  const options& settings,
+                                  const wire::digest& own,
+                                  mono_time now);
+
+/**
+ * @brief Takes a member's own work out of a sum, since it knows that better.
+ * @param of The digest that was added.
+ */
+void Subtract(wire::summary& sum, const wire::digest& of);
+
 /** @brief Drops members that were silent for long. */
 void Tick(members& state, const options& settings, mono_time now);
 
