--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -47,7 +47,7 @@
 /** @brief Settings of the sender. */
 struct options {
   /** Upstreams that may fail to connect before the sender gives up. */
-  int most_unconnected{4};
+  int most_unconnected{8};
   /** Upstreams that may refuse a request before the sender gives up. */
   int most_refusals{3};
 };
