Weigh reading shared parts again by eight; never answer a run with a promise

An upstream's 408 or 429 without its word that the request did not run was passed on; it becomes 502 now (edge_test booking_that_ran_is_not_answered_by_a_promise failed before).

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <array>
+
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/work.h"
@@ -27,6 +30,13 @@
  * come back within about this time. */
 constexpr std::chrono::milliseconds kNoUpstreamPause{400};
 
+/** @brief Tells whether a status promises that the request has not run. */
+bool IsPromise(int status) {
+  constexpr std::array kPromises{408, 421, 429, 503};
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
 /** @brief A whole answer that an upstream gave. */
 struct whole_answer {
   net::http_response response;
@@ -133,7 +143,7 @@
                                 std::nullopt};
     }
     OnBegun();
-    if (response.status >= kFirstServerError) {
+    if (response.status >= kFirstServerError || IsPromise(response.status)) {
       co_return attempt_failure{attempt_end::failed, false,
                                 "status " + std::to_string(response.status),
                                 std::move(response)};
@@ -373,9 +383,10 @@
     LogEnd(state, *work, 0, "cut_off");
     co_return;
   }
-  constexpr int kUnavailable = 503;
+  // A request that ran must not be answered by a status that promises it did
+  // not.
   if (step == next_step::pass_failure_on && reported &&
-      reported->status != kUnavailable) {
+      !IsPromise(reported->status)) {
     const auto status = reported->status;
     co_await exchange.Respond(*std::move(reported));
     LogEnd(state, *work, status, "upstream_failed");
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -65,7 +65,7 @@
   std::chrono::milliseconds other_data_centre{4};
   /** Waiting time that one token saved from being read again is worth, as a
    * multiple of its reading time. */
-  double reread_weight{3};
+  double reread_weight{8};
   /** A prompt is long if reading it takes this part of the tightest pause, and
    * its own stream tolerates longer ones. */
   double long_prompt_part{0.06};
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -30,7 +30,7 @@
 /** @brief Writes an event, whose message is a JSON object, as one line. */
 class json_layout final : public log4cplus::Layout {
  public:
-  explicit json_layout(std::string process) : process_(std::move(process)) {}
+  explicit json_layout(const std::string& process) : process_(process) {}
 
   void formatAndAppend(
       log4cplus::tostream& out,
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -41,6 +41,7 @@
     good,
     failure,
     not_run,
+    busy,
     broken,
     stream,
     broken_stream,
@@ -96,6 +97,9 @@
       case answer::failure:
         response.status = 500;
         break;
+      case answer::busy:
+        response.status = 429;
+        break;
       case answer::broken:
         exchange.CutOff();
         co_return;
@@ -358,6 +362,12 @@
   BOOST_TEST(Runs() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(booking_that_ran_is_not_answered_by_a_promise) {
+  SetAnswers(answer::busy);
+  BOOST_TEST(Call("/unsafe/x").status == 502);
+  BOOST_TEST(Runs() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(booking_refused_by_every_upstream_is_not_run) {
   SetAnswers(answer::not_run);
   const auto got = Call("/unsafe/x");
