Let a lease holder that hears few others give the lease up

Cause: an entry that is cut off from most others but reaches the store kept the lease; it would freeze billing windows without the others' counts and order for its own load. Change: it releases the lease, acts no more, and contends again when it hears at least half of those remembered. Test: fleet_test entry_cut_off_from_most_does_not_act_for_the_fleet.

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -100,6 +100,7 @@
     return true;
   }
   return IsReady(state_) &&
+         fleet::HearsMost(state_.members, state_.fleet_options, now) &&
          !fleet::IsLeaseHeldElsewhere(state_.members, state_.fleet_options,
                                       now) &&
          fleet::ContentionRank(state_.members, state_.fleet_options,
@@ -109,7 +110,8 @@
 
 bool duties::MayAct() const {
   const auto now = SuspendAwareNow();
-  return now >= quiet_until_ && lease::IsHeld(state_.lease, now);
+  return now >= quiet_until_ && !is_cut_off_ &&
+         lease::IsHeld(state_.lease, now);
 }
 
 void duties::StepDown(std::string_view reason) {
@@ -139,7 +141,27 @@
   }
 }
 
+/** Gives the lease to an entry that hears the others. */
+void duties::CheckContact() {
+  const auto now = SuspendAwareNow();
+  const bool holds = state_.lease.current == lease::role::holder;
+  if (!is_cut_off_ && holds &&
+      !fleet::HearsMost(state_.members, state_.fleet_options, now)) {
+    is_cut_off_ = true;
+    telemetry::Log(telemetry::level::warning, "lease_given_up",
+                   {{"fencing", std::to_string(state_.lease.fencing)},
+                    {"reason", "most other entries are not heard"}});
+    lease::Release(state_.lease);
+  }
+  if (is_cut_off_ && !state_.draining_since &&
+      (lease::IsReleased(state_.lease) || !lease::IsHeld(state_.lease, now))) {
+    is_cut_off_ = false;
+    StepDown("given up");
+  }
+}
+
 asio::awaitable<void> duties::TickLease() {
+  CheckContact();
   if (!Contends() && !state_.lease.wants_release) {
     co_return;
   }
--- a/apps/mimosadeckd/edge/duties.h
+++ b/apps/mimosadeckd/edge/duties.h
@@ -34,6 +34,7 @@
   asio::awaitable<void> ReportWindow(metering::window_number window);
   asio::awaitable<std::optional<std::string>> Freeze(
       metering::window_number window);
+  void CheckContact();
   [[nodiscard]] bool MayAct() const;
   [[nodiscard]] bool Contends() const;
   void StepDown(std::string_view reason);
@@ -47,6 +48,8 @@
   metering::window_number first_window_{};
   mono_time quiet_until_;
   bool was_held_{};
+  /** The lease is being given up, since most other entries are not heard. */
+  bool is_cut_off_{};
 };
 
 }  // namespace mimosadeck::edge
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -273,6 +273,20 @@
   return near;
 }
 
+bool HearsMost(const members& state, const options& settings, mono_time now) {
+  std::size_t remembered = 0;
+  std::size_t live = 0;
+  for (const auto& [name, found] : state.by_name) {
+    if (found.last.leaving() ||
+        now - found.heard_at > settings.remembered_for) {
+      continue;
+    }
+    ++remembered;
+    live += IsLive(state, found, settings, now) ? 1 : 0;
+  }
+  return live * 2 >= remembered;
+}
+
 bool IsLeaseHeldElsewhere(const members& state,
                           const options& settings,
                           mono_time now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -172,6 +172,15 @@
     std::size_t most,
     mono_time now);
 
+/**
+ * @brief Tells whether at least half of the members heard within the last while
+ * are still heard. An entry that is cut off from most knows neither their
+ * counts nor their load and must not act for the fleet.
+ */
+[[nodiscard]] bool HearsMost(const members& state,
+                             const options& settings,
+                             mono_time now);
+
 /** @brief Tells whether a live member says that it holds the lease. */
 [[nodiscard]] bool IsLeaseHeldElsewhere(const members& state,
                                         const options& settings,
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -239,6 +239,22 @@
 
 BOOST_FIXTURE_TEST_SUITE(contention, some_members)
 
+/** A holder cut off from the others would report its own counts as the whole
+ * fleet's, and order upstreams for its own load. */
+BOOST_AUTO_TEST_CASE(entry_cut_off_from_most_does_not_act_for_the_fleet) {
+  for (const auto* name : {"b", "c", "d", "e"}) {
+    Hear(name, "a");
+  }
+  BOOST_TEST(fleet::HearsMost(state, settings, now));
+  now += 2s;
+  BOOST_TEST(!fleet::HearsMost(state, settings, now));
+  Hear("b", "a");
+  Hear("c", "a");
+  BOOST_TEST(fleet::HearsMost(state, settings, now));
+  now += settings.remembered_for + 1s;
+  BOOST_TEST(fleet::HearsMost(state, settings, now));
+}
+
 BOOST_AUTO_TEST_CASE(lease_held_by_a_silent_member_is_open) {
   Hear("b", "a");
   state.by_name["b"].last.set_fencing(3);
