--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -211,10 +211,7 @@
   ++of.starts;
   system_test::process_options options;
   options.log_file = options_.directory + '/' + of.name + ".log";
-  if (!options_.clock_shim.empty()) {
-    options.environment = {"LD_PRELOAD=" + options_.clock_shim,
-                           "MIMOSADECK_CLOCK_FILE=" + of.clock_file};
-  }
+  options.environment = {"MIMOSADECK_CLOCK_FILE=" + of.clock_file};
   of.process = std::make_unique<system_test::process>(
       of.name,
       std::vector<std::string>{options_.daemon, "--platform", "--metrics-port",
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -48,10 +48,9 @@
 struct deployment_options {
   std::size_t entries{5};
   std::size_t upstreams{4};
-  /** The daemon's program. */
+  /** The daemon's program; its calendar clock is shifted by the milliseconds in
+   * the file that MIMOSADECK_CLOCK_FILE names. */
   std::string daemon;
-  /** Library that shifts a daemon's calendar clock; empty for none. */
-  std::string clock_shim;
   /** Directory for settings and logs. */
   std::string directory;
 };
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -193,10 +193,8 @@
       "", "callers", "Callers, one request at a time each", false, 24, "COUNT",
       line);
   const TCLAP::ValueArg<std::string> daemon(
-      "", "daemon", "Program of the daemon", true, "", "FILE", line);
-  const TCLAP::ValueArg<std::string> shim(
-      "", "clock-shim", "Library that shifts a daemon's clock", false, "",
-      "FILE", line);
+      "", "daemon", "Program of the daemon, mimosadeckd_shifted_clock", true,
+      "", "FILE", line);
   const TCLAP::ValueArg<std::string> directory(
       "", "directory", "Where settings and logs go", false,
       (std::filesystem::temp_directory_path() / "mimosadeck_soak").string(),
@@ -212,7 +210,6 @@
   out.checks.timed = !untimed.getValue();
   out.system.entries = processes.getValue();
   out.system.daemon = daemon.getValue();
-  out.system.clock_shim = shim.getValue();
   out.system.directory = directory.getValue() + '/' + std::to_string(out.seed);
   return out;
 }
--- a/soak/clock_shim.cc
+++ b/soak/shifted_clock.cc
@@ -1,5 +1,5 @@
-// Preloaded into a daemon: its calendar clock is off by the milliseconds that
-// the file named in MIMOSADECK_CLOCK_FILE holds.
+// Replaces the calendar clock of the daemon that it is linked into: it is off
+// by the milliseconds that the file named in MIMOSADECK_CLOCK_FILE holds.
 
 #include <fcntl.h>
 #include <sys/syscall.h>
