Compare registry versions between entries and miss lost answers of the store

Ruled out: the entry's gossip and clock (its log shows the call end by its own time limit at that moment).

Digests now carry the registry's version, and the registry keeps versions, so that an entry copies what changed from one that is ahead and never goes back. Two entries ask the store in waits of half the contact time; others wait 8 s and learn from them.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -152,8 +152,10 @@
     if (request.target == kManifestPath && state_.table) {
       return PlainText(state_.manifest_text, "application/octet-stream");
     }
-    if (request.target == kUpstreamsPath && state_.registry_followed) {
-      return PlainText(EncodeRegistry(state_), "application/octet-stream");
+    if (request.target.starts_with(kUpstreamsPath) &&
+        state_.registry_fresh_at) {
+      return PlainText(EncodeRegistry(state_, request.target),
+                       "application/octet-stream");
     }
     if (request.target == "/metrics") {
       return PlainText(state_.metrics.Text(), "text/plain; version=0.0.4");
--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -204,7 +204,7 @@
 
 asio::awaitable<void> duties::SizeServices() {
   const auto table = state_.table;
-  if (!table || !state_.registry_followed ||
+  if (!table || !IsRegistryCurrent(state_) ||
       !internal::HasDuty(state_.machine, "scale")) {
     co_return;
   }
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -221,7 +221,8 @@
                       .count());
   out.set_manifest_version(state_.table ? state_.table->Version() : 0);
   out.set_fencing(lease::IsHeld(state_.lease, now) ? state_.lease.fencing : 0);
-  out.set_registry_followed(state_.registry_followed);
+  out.set_store_followed(state_.store_followed);
+  out.set_registry_version(state_.upstreams.version);
   internal::FillLoads(state_, out);
   return out;
 }
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -1,5 +1,7 @@
 #include "mimosadeckd/edge/state.h"
 
+#include <algorithm>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -129,6 +131,24 @@
   }
 }
 
+bool FollowsStore(const edge_state& state) {
+  return fleet::FollowsStore(state.members, state.fleet_options,
+                             {state.machine.name, state.machine.data_centre, 0},
+                             SuspendAwareNow());
+}
+
+bool IsRegistryCurrent(const edge_state& state) {
+  if (state.store_followed) {
+    return true;
+  }
+  const auto live =
+      fleet::Live(state.members, state.fleet_options, SuspendAwareNow());
+  return std::any_of(live.begin(), live.end(), [&state](const auto* each) {
+    return each->last.store_followed() &&
+           each->last.registry_version() <= state.upstreams.version;
+  });
+}
+
 std::uint32_t EntryCount(const edge_state& state) {
   return static_cast<std::uint32_t>(state.members.by_name.size()) + 1;
 }
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -47,8 +47,8 @@
   registry::options registry_options;
   /** When the registry was last known to be complete; unset before. */
   std::optional<mono_time> registry_fresh_at;
-  /** False while the store does not answer for the registry. */
-  bool registry_followed{};
+  /** This entry follows the store itself, and the store answers. */
+  bool store_followed{};
 
   std::map<std::string, placement::pool, std::less<>> pools;
   placement::options placement_options;
@@ -81,6 +81,12 @@
 /** @brief Tells the pools what the other entries have sent. */
 void RefreshOthersLoad(edge_state& state);
 
+/** @brief Tells whether this entry follows the store itself. */
+[[nodiscard]] bool FollowsStore(const edge_state& state);
+
+/** @brief Tells whether the registry is as new as the fleet's. */
+[[nodiscard]] bool IsRegistryCurrent(const edge_state& state);
+
 /** @brief Returns the number of entries that share the retry limits. */
 [[nodiscard]] std::uint32_t EntryCount(const edge_state& state);
 
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -1,5 +1,7 @@
 #include "mimosadeckd/edge/sync.h"
 
+#include <charconv>
+
 #include "wire/digest.pb.h"
 
 namespace mimosadeck::edge {
@@ -8,19 +10,22 @@
 
 /** Pause after the store refused or did not answer. */
 constexpr std::chrono::milliseconds kStorePause{300};
+/** A lost answer of the store is missed within the time after which the agreed
+ * bounds hold again. */
+constexpr int kWaitsInContact = 2;
+/** Entries that ask so often; others learn from them what they miss. */
+constexpr std::size_t kWatchers = 2;
+/** Wait of the other entries. */
+constexpr std::chrono::milliseconds kLongWait{8000};
 /** Entries change in bursts: one call then brings them together. */
 constexpr std::chrono::milliseconds kGatherTime{250};
-/** The same where many entries ask; it stays well below the two seconds in
- * which a leaving upstream must be known. */
-constexpr std::chrono::milliseconds kLongGatherTime{750};
 /** Interval at which entries are compared. */
 constexpr std::chrono::milliseconds kCompareInterval{100};
 /** The store usually brings a new manifest within this time. */
 constexpr std::chrono::milliseconds kStoreLead{150};
-/** Age at which the registry is taken from another entry. */
-constexpr std::chrono::milliseconds kRegistryTooOld{1000};
 constexpr std::chrono::milliseconds kEntryCallTimeout{500};
 constexpr std::size_t kMostAnswerBytes = 16U << 20U;
+constexpr std::string_view kSince = "?since=";
 
 /** @brief Logs a dependency that was lost or regained, once each time. */
 class dependency_log {
@@ -64,20 +69,25 @@
                   {"started_at_ms", std::to_string(entry.started_at_ms)}});
 }
 
-void ApplyChanges(edge_state& state,
-                  platform::upstream_changes changes,
-                  mono_time now) {
-  for (auto& entry : changes.written) {
-    const auto before = state.upstreams.generation;
-    auto copy = entry;
-    registry::OnEntry(state.upstreams, std::move(entry));
-    if (state.upstreams.generation != before) {
-      LogUpstream("upstream_changed", copy);
+/** @brief Logs how the upstreams differ from a former state. */
+void LogDifference(
+    const std::map<std::string, registry::registered, std::less<>>& before,
+    const registry::upstream_set& after) {
+  for (const auto& [id, held] : after.by_id) {
+    const auto known = before.find(id);
+    if (known == before.end() || known->second.entry != held.entry) {
+      LogUpstream("upstream_changed", *held.entry);
     }
   }
-  for (const auto& id : changes.gone) {
-    telemetry::Log(telemetry::level::info, "upstream_gone", {{"upstream", id}});
-    registry::OnEntryGone(state.upstreams, state.registry_options, id, now);
+  for (const auto& [id, held] : before) {
+    const auto found = after.by_id.find(id);
+    if (found == after.by_id.end()) {
+      telemetry::Log(telemetry::level::info, "upstream_gone",
+                     {{"upstream", id}});
+    } else if (found->second.drop_at && !held.drop_at) {
+      telemetry::Log(telemetry::level::info, "upstream_lapsed",
+                     {{"upstream", id}});
+    }
   }
 }
 
@@ -104,54 +114,140 @@
   co_return std::nullopt;
 }
 
-const fleet::member* NewestManifest(const edge_state& state, mono_time now) {
-  const fleet::member* best = nullptr;
-  for (const auto* each :
-       fleet::Live(state.members, state.fleet_options, now)) {
-    if (!best ||
-        each->last.manifest_version() > best->last.manifest_version()) {
-      best = each;
-    }
+/** @brief Returns how long the store may hold back an answer. */
+std::chrono::milliseconds FeedWait(const edge_state& state) {
+  const bool watches =
+      !fleet::IsDense(state.members, state.fleet_options) ||
+      fleet::ContentionRank(state.members, state.fleet_options,
+                            state.machine.name, SuspendAwareNow()) < kWatchers;
+  return watches ? state.machine.bounds.contact / kWaitsInContact : kLongWait;
+}
+
+/** @brief Finds an entry that knows a newer version than this one. */
+const fleet::member* FindAhead(const edge_state& state,
+                               fleet::told_version version,
+                               std::uint64_t own,
+                               std::uint64_t failures) {
+  return fleet::FindAhead(
+      state.members, state.fleet_options,
+      {state.machine.name, state.machine.data_centre, failures}, version, own,
+      SuspendAwareNow());
+}
+
+wire::upstream_entry Encode(const registry::copied& from) {
+  wire::upstream_entry out;
+  out.set_id(from.entry.id);
+  out.set_service(from.entry.service);
+  out.set_address(from.entry.address);
+  out.set_data_centre(from.entry.data_centre);
+  out.set_slots(from.entry.slots);
+  out.set_draining(from.entry.draining);
+  out.set_evictable(from.entry.evictable);
+  out.set_started_at_ms(from.entry.started_at_ms);
+  out.set_version(from.version);
+  if (from.dropped_after) {
+    out.set_dropped_after_ms(
+        static_cast<std::uint32_t>(from.dropped_after->count()));
   }
-  const auto own = state.table ? state.table->Version() : 0;
-  return best && best->last.manifest_version() > own ? best : nullptr;
+  return out;
 }
 
-const fleet::member* RegistrySource(const edge_state& state, mono_time now) {
-  for (const auto* each :
-       fleet::Live(state.members, state.fleet_options, now)) {
-    if (each->last.registry_followed()) {
-      return each;
-    }
+registry::copied Decode(const wire::upstream_entry& from) {
+  registry::copied out;
+  out.entry.id = from.id();
+  out.entry.service = from.service();
+  out.entry.address = from.address();
+  out.entry.data_centre = from.data_centre();
+  out.entry.slots = from.slots();
+  out.entry.draining = from.draining();
+  out.entry.evictable = from.evictable();
+  out.entry.started_at_ms = from.started_at_ms();
+  out.version = from.version();
+  if (from.has_dropped_after_ms()) {
+    out.dropped_after = std::chrono::milliseconds(from.dropped_after_ms());
   }
-  return nullptr;
+  return out;
 }
 
-void AdoptRegistry(edge_state& state, const std::string& text, mono_time now) {
+void AdoptRegistry(edge_state& state,
+                   const std::string& text,
+                   std::string_view origin) {
   wire::upstream_registry told;
   if (!told.ParseFromString(text)) {
-    telemetry::Log(telemetry::level::warning, "registry_unreadable", {});
+    telemetry::Log(telemetry::level::warning, "registry_unreadable",
+                   {{"origin", origin}});
     return;
   }
-  std::vector<registry::upstream> entries;
+  registry::update update;
+  update.since = told.since();
+  update.version = told.version();
   for (const auto& each : told.entries()) {
-    registry::upstream entry;
-    entry.id = each.id();
-    entry.service = each.service();
-    entry.address = each.address();
-    entry.data_centre = each.data_centre();
-    entry.slots = each.slots();
-    entry.draining = each.draining();
-    entry.evictable = each.evictable();
-    entry.started_at_ms = each.started_at_ms();
-    entries.push_back(std::move(entry));
+    update.written.push_back(Decode(each));
+  }
+  update.gone.assign(told.gone().begin(), told.gone().end());
+  const auto before = state.upstreams.by_id;
+  const auto now = SuspendAwareNow();
+  if (!registry::Adopt(state.upstreams, std::move(update), now)) {
+    return;
   }
-  registry::OnListing(state.upstreams, state.registry_options,
-                      std::move(entries), now);
+  LogDifference(before, state.upstreams);
+  telemetry::Log(telemetry::level::info, "registry_adopted",
+                 {{"origin", origin},
+                  {"version", std::to_string(state.upstreams.version)},
+                  {"count", std::to_string(state.upstreams.by_id.size())}});
   state.registry_fresh_at = now;
   RefreshPools(state);
 }
 
+/** @brief Copies a newer manifest from another entry. @return False if it did
+ * not answer. */
+asio::awaitable<bool> CopyManifest(edge_state& state,
+                                   const fleet::member& from) {
+  const auto origin = from.last.name();
+  auto address = from.last.control_address();
+  std::string path(kManifestPath);
+  const auto text = co_await Fetch(state, std::move(address), std::move(path));
+  if (text) {
+    AdoptManifest(state, *text, origin);
+  }
+  co_return text.has_value();
+}
+
+/** @brief Copies newer upstreams from another entry. @return False if it did
+ * not answer. */
+asio::awaitable<bool> CopyRegistry(edge_state& state,
+                                   const fleet::member& from) {
+  const auto origin = from.last.name();
+  auto address = from.last.control_address();
+  auto path = std::string(kUpstreamsPath) + std::string(kSince) +
+              std::to_string(state.upstreams.version);
+  const auto text = co_await Fetch(state, std::move(address), std::move(path));
+  if (text) {
+    AdoptRegistry(state, *text, origin);
+  }
+  co_return text.has_value();
+}
+
+/** @brief Tells for how long another entry has been ahead. */
+class lead_timer {
+ public:
+  /** @return True once the lead has lasted so long. */
+  bool HasLasted(bool is_ahead, std::chrono::milliseconds time) {
+    const auto now = SuspendAwareNow();
+    if (!is_ahead) {
+      since_.reset();
+      return false;
+    }
+    if (!since_) {
+      since_ = now;
+    }
+    return now - *since_ >= time;
+  }
+
+ private:
+  std::optional<mono_time> since_;
+};
+
 }  // namespace
 }  // namespace internal
 
@@ -180,7 +276,11 @@
 asio::awaitable<void> FollowManifest(edge_state& state) {
   internal::dependency_log store("store.manifest");
   while (!state.stopping) {
-    auto step = co_await state.platform.NextManifest();
+    if (!FollowsStore(state)) {
+      co_await Sleep(internal::kCompareInterval);
+      continue;
+    }
+    auto step = co_await state.platform.NextManifest(internal::FeedWait(state));
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_away>(&step)) {
       store.OnFailure(away->reason, now);
@@ -197,93 +297,89 @@
 asio::awaitable<void> FollowUpstreams(edge_state& state) {
   internal::dependency_log store("store.upstreams");
   while (!state.stopping) {
-    auto step = co_await state.platform.NextUpstreams();
+    if (!FollowsStore(state)) {
+      state.store_followed = false;
+      co_await Sleep(internal::kCompareInterval);
+      continue;
+    }
+    auto step =
+        co_await state.platform.NextUpstreams(internal::FeedWait(state));
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_away>(&step)) {
       store.OnFailure(away->reason, now);
-      state.registry_followed = false;
+      state.store_followed = false;
       co_await Sleep(internal::kStorePause);
       continue;
     }
     if (store.OnAnswer(now)) {
       registry::OnStoreBack(state.upstreams, now);
     }
+    const auto before = state.upstreams.by_id;
     if (auto* listing = std::get_if<platform::upstream_listing>(&step)) {
       registry::OnListing(state.upstreams, state.registry_options,
-                          std::move(listing->entries), now);
+                          std::move(listing->entries), listing->version, now);
       telemetry::Log(telemetry::level::info, "upstreams_listed",
-                     {{"count", std::to_string(state.upstreams.by_id.size())}});
+                     {{"count", std::to_string(state.upstreams.by_id.size())},
+                      {"version", std::to_string(listing->version)}});
     } else {
-      internal::ApplyChanges(
-          state, std::get<platform::upstream_changes>(std::move(step)), now);
+      auto& changes = std::get<platform::upstream_changes>(step).changes;
+      registry::OnChanges(state.upstreams, state.registry_options,
+                          std::move(changes), now);
+      internal::LogDifference(before, state.upstreams);
     }
     state.registry_fresh_at = now;
-    state.registry_followed = true;
+    state.store_followed = true;
     RefreshPools(state);
-    co_await Sleep(fleet::IsDense(state.members, state.fleet_options)
-                       ? internal::kGatherTime
-                       : internal::kLongGatherTime);
+    co_await Sleep(internal::kGatherTime);
   }
 }
 
 asio::awaitable<void> FollowEntries(edge_state& state) {
-  std::optional<mono_time> behind_since;
-  mono_time registry_asked_at;
+  internal::lead_timer manifest;
+  internal::lead_timer upstreams;
+  std::uint64_t failures = 0;
   while (!state.stopping) {
     co_await Sleep(internal::kCompareInterval);
-    const auto now = SuspendAwareNow();
     const auto before = state.upstreams.generation;
-    registry::Tick(state.upstreams, now);
+    registry::Tick(state.upstreams, SuspendAwareNow());
     if (state.upstreams.generation != before) {
       RefreshPools(state);
     }
-    const auto* newer = internal::NewestManifest(state, now);
-    if (!newer) {
-      behind_since.reset();
-    } else if (!behind_since) {
-      behind_since = now;
-    } else if (now - *behind_since >= internal::kStoreLead) {
-      const auto origin = newer->last.name();
-      std::string address = newer->last.control_address();
-      std::string path(kManifestPath);
-      const auto text =
-          co_await internal::Fetch(state, std::move(address), std::move(path));
-      if (text) {
-        AdoptManifest(state, *text, origin);
-      }
+    const auto lead = FollowsStore(state) ? internal::kStoreLead
+                                          : std::chrono::milliseconds(0);
+    const auto* from =
+        internal::FindAhead(state, &wire::digest::manifest_version,
+                            state.table ? state.table->Version() : 0, failures);
+    if (manifest.HasLasted(from, lead)) {
+      const bool copied = co_await internal::CopyManifest(state, *from);
+      failures += copied ? 0 : 1;
     }
-    const bool is_old =
-        !state.registry_followed &&
-        (!state.registry_fresh_at ||
-         now - *state.registry_fresh_at >= internal::kRegistryTooOld);
-    const auto* source =
-        is_old ? internal::RegistrySource(state, now) : nullptr;
-    if (source && now - registry_asked_at >= internal::kRegistryTooOld) {
-      registry_asked_at = now;
-      std::string address = source->last.control_address();
-      std::string path(kUpstreamsPath);
-      const auto text =
-          co_await internal::Fetch(state, std::move(address), std::move(path));
-      if (text) {
-        internal::AdoptRegistry(state, *text, now);
-      }
+    from = internal::FindAhead(state, &wire::digest::registry_version,
+                               state.upstreams.version, failures);
+    if (upstreams.HasLasted(from, lead)) {
+      const bool copied = co_await internal::CopyRegistry(state, *from);
+      failures += copied ? 0 : 1;
     }
   }
 }
 
-std::string EncodeRegistry(const edge_state& state) {
+std::string EncodeRegistry(const edge_state& state, std::string_view target) {
+  std::uint64_t since = 0;
+  if (const auto found = target.find(internal::kSince);
+      found != std::string_view::npos) {
+    const auto text = target.substr(found + internal::kSince.size());
+    std::from_chars(text.data(), text.data() + text.size(), since);
+  }
+  const auto changes =
+      registry::ChangesSince(state.upstreams, since, SuspendAwareNow());
   wire::upstream_registry out;
-  for (const auto& [id, held] : state.upstreams.by_id) {
-    const auto& entry = *held.entry;
-    auto& told = *out.add_entries();
-    told.set_id(id);
-    told.set_service(entry.service);
-    told.set_address(entry.address);
-    told.set_data_centre(entry.data_centre);
-    told.set_slots(entry.slots);
-    told.set_draining(entry.draining);
-    told.set_evictable(entry.evictable);
-    told.set_started_at_ms(entry.started_at_ms);
+  out.set_since(changes.since);
+  out.set_version(changes.version);
+  for (const auto& each : changes.written) {
+    *out.add_entries() = internal::Encode(each);
+  }
+  for (const auto& id : changes.gone) {
+    out.add_gone(id);
   }
   return out.SerializeAsString();
 }
--- a/apps/mimosadeckd/edge/sync.h
+++ b/apps/mimosadeckd/edge/sync.h
@@ -12,7 +12,8 @@
 
 /** @brief Path at which an entry hands its manifest to others. */
 inline constexpr std::string_view kManifestPath = "/manifest";
-/** @brief Path at which an entry hands its registry to others. */
+/** @brief Path at which an entry hands its registry to others; the parameter
+ * `since` asks only for what changed after a version. */
 inline constexpr std::string_view kUpstreamsPath = "/upstreams";
 
 /**
@@ -32,8 +33,10 @@
 /** @brief Takes from other entries what the store does not give this one. */
 [[nodiscard]] asio::awaitable<void> FollowEntries(edge_state& state);
 
-/** @brief Writes the registry for another entry. */
-[[nodiscard]] std::string EncodeRegistry(const edge_state& state);
+/** @brief Writes what the target of another entry's call asks of the registry.
+ */
+[[nodiscard]] std::string EncodeRegistry(const edge_state& state,
+                                         std::string_view target);
 
 }  // namespace mimosadeck::edge
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "base/base.h"
 
@@ -13,6 +14,28 @@
                                             : a.sequence() <= b.sequence();
 }
 
+/** Spreads the bits of a hash anew (multiplication by the golden ratio). */
+std::uint64_t Scatter(std::uint64_t value) {
+  constexpr std::uint64_t kGoldenRatio = 0x9e3779b97f4a7c15ULL;
+  constexpr unsigned kHalf = 32;
+  value *= kGoldenRatio;
+  return (value ^ (value >> kHalf)) * kGoldenRatio;
+}
+
+/** A relay's summary tells its own versions sooner than its record does. */
+void TakeVersions(members& state, const wire::summary& told, mono_time now) {
+  const auto found = state.by_name.find(told.relay());
+  if (found == state.by_name.end()) {
+    return;
+  }
+  auto& last = found->second.last;
+  last.set_manifest_version(
+      std::max(last.manifest_version(), told.manifest_version()));
+  last.set_registry_version(
+      std::max(last.registry_version(), told.registry_version()));
+  found->second.heard_at = now;
+}
+
 bool TakesCallers(const member& of) {
   return of.last.ready() && !of.last.leaving();
 }
@@ -92,6 +115,7 @@
   if (received.members_size() > 0) {
     return;
   }
+  internal::TakeVersions(state, received, now);
   received.clear_suspects();
   state.work = fleet_work{std::move(received), now};
 }
@@ -116,6 +140,52 @@
   return out;
 }
 
+bool FollowsStore(const members& state,
+                  const options& settings,
+                  const self_place& self,
+                  mono_time now) {
+  if (IsDense(state, settings)) {
+    return true;
+  }
+  const auto own = Hash64(self.name);
+  std::size_t before = 0;
+  for (const auto* each : Live(state, settings, now)) {
+    const bool is_near = each->last.data_centre() == self.data_centre;
+    before += is_near && Hash64(each->last.name()) < own ? 1 : 0;
+  }
+  if (before < settings.relays) {
+    return true;
+  }
+  const auto relays = Relays(state, settings, now);
+  return std::none_of(relays.begin(), relays.end(), [](const auto* each) {
+    return each->last.store_followed();
+  });
+}
+
+const member* FindAhead(const members& state,
+                        const options& settings,
+                        const self_place& self,
+                        told_version version,
+                        std::uint64_t own,
+                        mono_time now) {
+  const auto identity = internal::Scatter(Hash64(self.name) + self.failures);
+  const member* best = nullptr;
+  std::tuple<bool, std::uint64_t> highest;
+  for (const auto* each : Live(state, settings, now)) {
+    if ((each->last.*version)() <= own) {
+      continue;
+    }
+    const std::tuple<bool, std::uint64_t> score{
+        each->last.data_centre() == self.data_centre,
+        internal::Scatter(identity ^ Hash64(each->last.name()))};
+    if (!best || score > highest) {
+      best = each;
+      highest = score;
+    }
+  }
+  return best;
+}
+
 std::vector<const member*> Followers(const members& state,
                                      const options& settings,
                                      std::string_view data_centre,
@@ -158,6 +228,8 @@
   }
   wire::summary out;
   out.set_relay(own.name());
+  out.set_manifest_version(own.manifest_version());
+  out.set_registry_version(own.registry_version());
   for (auto& [upstream, sum] : loads) {
     sum.set_upstream(upstream);
     *out.add_loads() = sum;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -99,6 +99,45 @@
                                                 const options& settings,
                                                 mono_time now);
 
+/** @brief This entry's place in the fleet. */
+struct self_place {
+  std::string_view name;
+  std::string_view data_centre;
+  /** Calls to other members that failed; each leads to another choice. */
+  std::uint64_t failures{};
+};
+
+/**
+ * @brief Tells whether this entry follows the platform's store itself.
+ *
+ * In a large fleet only the relays do, as long as one of them is heard that the
+ * store answers; the others copy from them, so that the store's load does not
+ * grow with the fleet.
+ */
+[[nodiscard]] bool FollowsStore(const members& state,
+                                const options& settings,
+                                const self_place& self,
+                                mono_time now);
+
+/** @brief A version that digests tell, such as that of the manifest. */
+using told_version = std::uint64_t (wire::digest::*)() const;
+
+/**
+ * @brief Returns a live member that knows a newer version, to copy from.
+ *
+ * Members in this entry's data centre come first; among them each entry prefers
+ * another one, so that not all ask the same.
+ *
+ * @param own The version known here.
+ * @return Null if none is ahead.
+ */
+[[nodiscard]] const member* FindAhead(const members& state,
+                                      const options& settings,
+                                      const self_place& self,
+                                      told_version version,
+                                      std::uint64_t own,
+                                      mono_time now);
+
 /** @brief Returns the members that take their view from this entry. */
 [[nodiscard]] std::vector<const member*> Followers(const members& state,
                                                    const options& settings,
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -1,16 +1,22 @@
 #include "registry/registry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace mimosadeck::registry {
+namespace internal {
+namespace {
 
-void OnStoreBack(upstream_set& state, mono_time now) {
-  state.store_back_at = now;
-}
+/** Removals that are remembered for updates of other processes. */
+constexpr std::size_t kMostRemovals = 512;
 
-void OnEntry(upstream_set& state, upstream entry) {
+void Put(upstream_set& state,
+         upstream entry,
+         std::uint64_t version,
+         std::optional<mono_time> drop_at) {
   auto& slot = state.by_id[entry.id];
-  slot.drop_at.reset();
+  slot.version = version;
+  slot.drop_at = drop_at;
   if (slot.entry && *slot.entry == entry) {
     return;
   }
@@ -18,33 +24,82 @@
   ++state.generation;
 }
 
-void OnEntryGone(upstream_set& state,
-                 const options& settings,
-                 std::string_view id,
-                 mono_time now) {
+void Erase(upstream_set& state, const std::string& id) {
+  state.generation += state.by_id.erase(id);
+}
+
+void NoteRemoval(upstream_set& state,
+                 const std::string& id,
+                 std::uint64_t version) {
+  state.removals.emplace(version, id);
+  while (state.removals.size() > kMostRemovals) {
+    state.removals_forgotten = state.removals.begin()->first;
+    state.removals.erase(state.removals.begin());
+  }
+}
+
+void OnGone(upstream_set& state,
+            const options& settings,
+            const std::string& id,
+            std::uint64_t version,
+            mono_time now) {
   const auto found = state.by_id.find(id);
   if (found == state.by_id.end()) {
     return;
   }
-  if (state.store_back_at &&
-      now < *state.store_back_at + settings.return_grace) {
-    if (!found->second.drop_at) {
-      found->second.drop_at = *state.store_back_at + settings.return_grace;
-    }
+  const bool may_come_back =
+      state.store_back_at && now < *state.store_back_at + settings.return_grace;
+  if (!may_come_back) {
+    Erase(state, id);
+    NoteRemoval(state, id, version);
     return;
   }
-  state.by_id.erase(found);
-  ++state.generation;
+  found->second.version = version;
+  if (!found->second.drop_at) {
+    found->second.drop_at = *state.store_back_at + settings.return_grace;
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+void OnStoreBack(upstream_set& state, mono_time now) {
+  state.store_back_at = now;
+}
+
+void OnChanges(upstream_set& state,
+               const options& settings,
+               std::vector<change> received,
+               mono_time now) {
+  const auto reflected = state.version;
+  for (auto& each : received) {
+    if (each.version <= reflected) {
+      continue;
+    }
+    state.version = std::max(state.version, each.version);
+    if (each.entry) {
+      internal::Put(state, *std::move(each.entry), each.version, std::nullopt);
+    } else {
+      internal::OnGone(state, settings, each.id, each.version, now);
+    }
+  }
 }
 
 void OnListing(upstream_set& state,
                const options& settings,
-               std::vector<upstream> entries,
+               std::vector<change> entries,
+               std::uint64_t version,
                mono_time now) {
+  if (version < state.version) {
+    return;
+  }
+  state.version = version;
   std::set<std::string, std::less<>> listed;
-  for (auto& entry : entries) {
-    listed.insert(entry.id);
-    OnEntry(state, std::move(entry));
+  for (auto& each : entries) {
+    if (each.entry) {
+      listed.insert(each.id);
+      internal::Put(state, *std::move(each.entry), each.version, std::nullopt);
+    }
   }
   std::vector<std::string> gone;
   for (const auto& [id, held] : state.by_id) {
@@ -52,16 +107,83 @@
       gone.push_back(id);
     }
   }
+  // The versions of these removals are not known.
+  state.removals.clear();
+  state.removals_forgotten = version;
+  for (const auto& id : gone) {
+    internal::OnGone(state, settings, id, version, now);
+  }
+}
+
+update ChangesSince(const upstream_set& state,
+                    std::uint64_t since,
+                    mono_time now) {
+  update out;
+  out.version = state.version;
+  out.since = since >= state.removals_forgotten ? since : 0;
+  for (const auto& [id, held] : state.by_id) {
+    if (held.version <= out.since) {
+      continue;
+    }
+    copied each{*held.entry, held.version, std::nullopt};
+    if (held.drop_at) {
+      each.dropped_after =
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::max(*held.drop_at - now, mono_duration::zero()));
+    }
+    out.written.push_back(std::move(each));
+  }
+  for (auto each = state.removals.upper_bound(out.since);
+       each != state.removals.end() && out.since > 0; ++each) {
+    out.gone.push_back(each->second);
+  }
+  return out;
+}
+
+bool Adopt(upstream_set& state, update received, mono_time now) {
+  if (received.version <= state.version || received.since > state.version) {
+    return false;
+  }
+  std::set<std::string, std::less<>> gone(received.gone.begin(),
+                                          received.gone.end());
+  if (received.since == 0) {
+    for (const auto& [id, held] : state.by_id) {
+      gone.insert(id);
+    }
+    state.removals.clear();
+    state.removals_forgotten = received.version;
+  }
+  for (auto& each : received.written) {
+    gone.erase(each.entry.id);
+    if (each.version > state.version || received.since == 0) {
+      std::optional<mono_time> drop_at;
+      if (each.dropped_after) {
+        drop_at = now + *each.dropped_after;
+      }
+      internal::Put(state, std::move(each.entry), each.version, drop_at);
+    }
+  }
   for (const auto& id : gone) {
-    OnEntryGone(state, settings, id, now);
+    internal::Erase(state, id);
+    if (received.since > 0) {
+      internal::NoteRemoval(state, id, received.version);
+    }
   }
+  state.version = received.version;
+  return true;
 }
 
 void Tick(upstream_set& state, mono_time now) {
-  const auto dropped = std::erase_if(state.by_id, [now](const auto& held) {
-    return held.second.drop_at && *held.second.drop_at <= now;
-  });
-  state.generation += dropped;
+  std::vector<std::pair<std::string, std::uint64_t>> dropped;
+  for (const auto& [id, held] : state.by_id) {
+    if (held.drop_at && *held.drop_at <= now) {
+      dropped.emplace_back(id, held.version);
+    }
+  }
+  for (const auto& [id, version] : dropped) {
+    internal::Erase(state, id);
+    internal::NoteRemoval(state, id, version);
+  }
 }
 
 std::vector<std::shared_ptr<const upstream>> Usable(const upstream_set& state,
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -42,9 +42,20 @@
   std::chrono::milliseconds return_grace{2200};
 };
 
+/** @brief A change of one entry, as the store has ordered it. */
+struct change {
+  std::string id;
+  /** Version of the store that brought it; rises with each change. */
+  std::uint64_t version{};
+  /** Unset if the entry is gone or cannot be read. */
+  std::optional<upstream> entry;
+};
+
 /** @brief An upstream as the registry holds it. */
 struct registered {
   std::shared_ptr<const upstream> entry;
+  /** Version of its newest change. */
+  std::uint64_t version{};
   /** The entry is gone; the upstream is dropped at this time. */
   std::optional<mono_time> drop_at;
 };
@@ -52,11 +63,18 @@
 /**
  * @brief The upstreams that one process knows.
  *
- * Fed by listings and single changes; both may come late or be missed while the
- * store is away.
+ * Fed by listings and single changes of the store, or by another process' set;
+ * all may come late, twice, or be missed while the store is away.
  */
 struct upstream_set {
   std::map<std::string, registered, std::less<>> by_id;
+  /** Every change up to this version of the store is reflected. */
+  std::uint64_t version{};
+  /** Ids that are gone, by the version of their removal; the oldest are
+   * forgotten. */
+  std::multimap<std::uint64_t, std::string> removals;
+  /** Removals up to this version may be missing above. */
+  std::uint64_t removals_forgotten{};
   /** When the store answered again after an outage. */
   std::optional<mono_time> store_back_at;
   /** Rises with each change of what Usable returns. */
@@ -66,26 +84,58 @@
 /** @brief Takes note that the store answers again after an outage. */
 void OnStoreBack(upstream_set& state, mono_time now);
 
-/** @brief Takes an entry that was written. */
-void OnEntry(upstream_set& state, upstream entry);
-
 /**
- * @brief Takes note that an entry is gone, or cannot be read.
+ * @brief Takes the changes of one answer of the store; those that are reflected
+ * already are dropped.
  *
- * Shortly after an outage the upstream stays in use, since its entry may have
- * lapsed meanwhile.
+ * Shortly after an outage an upstream without an entry stays in use, since its
+ * entry may have lapsed meanwhile.
  */
-void OnEntryGone(upstream_set& state,
-                 const options& settings,
-                 std::string_view id,
-                 mono_time now);
+void OnChanges(upstream_set& state,
+               const options& settings,
+               std::vector<change> received,
+               mono_time now);
 
-/** @brief Takes a whole listing; what it lacks counts as gone. */
+/**
+ * @brief Takes a whole listing, unless a newer state is known; what it lacks
+ * counts as gone.
+ * @param version Version of the store that the listing shows.
+ */
 void OnListing(upstream_set& state,
                const options& settings,
-               std::vector<upstream> entries,
+               std::vector<change> entries,
+               std::uint64_t version,
                mono_time now);
 
+/** @brief An upstream as one process tells another. */
+struct copied {
+  upstream entry;
+  std::uint64_t version{};
+  /** Time until it is dropped; unset if it stays. */
+  std::optional<std::chrono::milliseconds> dropped_after;
+};
+
+/** @brief What changed between two versions. */
+struct update {
+  /** Version to which it applies; zero for a whole set. */
+  std::uint64_t since{};
+  std::uint64_t version{};
+  std::vector<copied> written;
+  std::vector<std::string> gone;
+};
+
+/** @brief Returns what changed since a version, or the whole set if that is no
+ * longer known. */
+[[nodiscard]] update ChangesSince(const upstream_set& state,
+                                  std::uint64_t since,
+                                  mono_time now);
+
+/**
+ * @brief Takes another process' update.
+ * @return False if it is not newer, or does not join on to what is known.
+ */
+bool Adopt(upstream_set& state, update received, mono_time now);
+
 /** @brief Drops upstreams whose grace ran out. */
 void Tick(upstream_set& state, mono_time now);
 
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE fleet
 #include <boost/test/included/unit_test.hpp>
 
+#include <set>
+
 #include "fleet/fleet.h"
 
 namespace {
@@ -272,4 +274,142 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** Thirty entries in three data centres, each with two relays. */
+struct thirty_entries : some_members {
+  thirty_entries() {
+    for (int i = 0; i < 29; ++i) {
+      Hear(NameOf(i), DataCentreOf(i));
+    }
+    for (const auto* each : fleet::Relays(state, settings, now)) {
+      state.by_name[each->last.name()].last.set_store_followed(true);
+    }
+  }
+
+  static std::string NameOf(int number) {
+    return "entry-" + std::to_string(number);
+  }
+
+  static std::string DataCentreOf(int number) {
+    return std::string(1, static_cast<char>('a' + number % 3));
+  }
+
+  /** The same fleet as one of its members sees it. */
+  bool FollowsStore(int number) {
+    auto others = state;
+    others.by_name.erase(NameOf(number));
+    const auto name = NameOf(number);
+    const auto data_centre = DataCentreOf(number);
+    return fleet::FollowsStore(others, settings, {name, data_centre, 0}, now);
+  }
+
+  int FollowerCount() {
+    int sum = 0;
+    for (int i = 0; i < 29; ++i) {
+      sum += FollowsStore(i) ? 1 : 0;
+    }
+    return sum;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(following_the_store, thirty_entries)
+
+BOOST_AUTO_TEST_CASE(small_fleet_follows_as_a_whole) {
+  while (state.by_name.size() >= settings.dense_fleet) {
+    state.by_name.erase(state.by_name.begin());
+  }
+  BOOST_TEST(fleet::FollowsStore(state, settings, {"self", "a", 0}, now));
+}
+
+BOOST_AUTO_TEST_CASE(large_fleet_follows_by_its_relays_only) {
+  BOOST_TEST(FollowerCount() == 6);
+}
+
+BOOST_AUTO_TEST_CASE(entries_follow_themselves_when_no_relay_does) {
+  for (auto& [name, found] : state.by_name) {
+    found.last.set_store_followed(false);
+  }
+  BOOST_TEST(FollowerCount() == 29);
+}
+
+BOOST_AUTO_TEST_CASE(silent_relays_are_replaced) {
+  std::vector<std::string> relays;
+  for (const auto* each : fleet::Relays(state, settings, now)) {
+    relays.push_back(each->last.name());
+  }
+  now += fleet::LiveFor(state, settings) + 1ms;
+  for (int i = 0; i < 29; ++i) {
+    if (std::find(relays.begin(), relays.end(), NameOf(i)) == relays.end()) {
+      Hear(NameOf(i), DataCentreOf(i));
+    }
+  }
+  int followers = 0;
+  for (int i = 0; i < 29; ++i) {
+    const bool is_relay =
+        std::find(relays.begin(), relays.end(), NameOf(i)) != relays.end();
+    followers += !is_relay && FollowsStore(i) ? 1 : 0;
+  }
+  BOOST_TEST(followers >= 6);
+}
+
+BOOST_AUTO_TEST_CASE(member_that_is_ahead_is_found_nearby_first) {
+  state.by_name[NameOf(1)].last.set_registry_version(9);
+  const fleet::self_place self_place{"self", "a", 0};
+  const auto* found = fleet::FindAhead(state, settings, self_place,
+                                       &wire::digest::registry_version, 8, now);
+  BOOST_REQUIRE(found);
+  BOOST_TEST(found->last.name() == NameOf(1));
+  state.by_name[NameOf(3)].last.set_registry_version(9);
+  found = fleet::FindAhead(state, settings, self_place,
+                           &wire::digest::registry_version, 8, now);
+  BOOST_TEST(found->last.name() == NameOf(3));
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_ahead_of_the_newest_version) {
+  state.by_name[NameOf(1)].last.set_registry_version(9);
+  BOOST_TEST(!fleet::FindAhead(state, settings, {"self", "a", 0},
+                               &wire::digest::registry_version, 9, now));
+}
+
+BOOST_AUTO_TEST_CASE(entries_copy_from_different_members) {
+  for (auto& [name, found] : state.by_name) {
+    found.last.set_manifest_version(4);
+  }
+  std::map<std::string, int> asked;
+  for (int i = 0; i < 300; ++i) {
+    const auto name = "other-" + std::to_string(i);
+    ++asked[fleet::FindAhead(state, settings, {name, "a", 0},
+                             &wire::digest::manifest_version, 3, now)
+                ->last.name()];
+  }
+  BOOST_TEST(asked.size() == 10);
+  for (const auto& [name, count] : asked) {
+    BOOST_TEST(count < 60);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(member_that_did_not_answer_is_followed_by_another) {
+  for (auto& [name, found] : state.by_name) {
+    found.last.set_manifest_version(4);
+  }
+  std::set<std::string> asked;
+  for (std::uint64_t failures = 0; failures < 8; ++failures) {
+    asked.insert(fleet::FindAhead(state, settings, {"self", "a", failures},
+                                  &wire::digest::manifest_version, 3, now)
+                     ->last.name());
+  }
+  BOOST_TEST(asked.size() >= 3);
+}
+
+BOOST_AUTO_TEST_CASE(summary_tells_its_relays_versions) {
+  wire::summary told;
+  told.set_relay(NameOf(1));
+  told.set_registry_version(7);
+  told.set_manifest_version(3);
+  fleet::OnSummary(state, told, "self", wall, now);
+  BOOST_TEST(state.by_name[NameOf(1)].last.registry_version() == 7);
+  BOOST_TEST(state.by_name[NameOf(1)].last.manifest_version() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -16,6 +16,7 @@
 namespace infra = mimosadeck::infra;
 namespace platform = mimosadeck::platform;
 
+constexpr std::chrono::milliseconds kWait{100};
 constexpr auto kEntry =
     R"({"service":"pool","address":"10.0.0.1:80","zone":"z","version":"v1",)"
     R"("slots":4,"state":"ready","cold_left_ms":0,"seq":1,"born":5})";
@@ -31,7 +32,6 @@
     out.duty_address = store.Address();
     out.holder = "entry-1";
     out.call_timeout = 150ms;
-    out.feed_wait = 100ms;
     return out;
   }
 
@@ -155,24 +155,25 @@
 
 BOOST_AUTO_TEST_CASE(manifest_is_read_first_and_then_followed) {
   store.Put("op", "config", "one");
-  auto step = Await(client.NextManifest());
+  auto step = Await(client.NextManifest(kWait));
   BOOST_REQUIRE(Is<platform::manifest_written>(step));
   store.Put("op", "config", "two");
-  step = Await(client.NextManifest());
+  step = Await(client.NextManifest(kWait));
   BOOST_REQUIRE(Is<platform::manifest_written>(step));
   BOOST_TEST(std::get<platform::manifest_written>(step).text == "two");
-  BOOST_TEST(Is<platform::unchanged>(Await(client.NextManifest())));
+  BOOST_TEST(Is<platform::unchanged>(Await(client.NextManifest(kWait))));
 }
 
 BOOST_AUTO_TEST_CASE(history_that_is_gone_leads_to_a_new_listing) {
   store.Put("servers", "a", kEntry);
-  BOOST_TEST(Is<platform::upstream_listing>(Await(client.NextUpstreams())));
+  BOOST_TEST(
+      Is<platform::upstream_listing>(Await(client.NextUpstreams(kWait))));
   store.Drop("servers", "a");
   store.Put("servers", "b", kEntry);
   store.Compact();
-  auto step = Await(client.NextUpstreams());
+  auto step = Await(client.NextUpstreams(kWait));
   BOOST_REQUIRE(Is<platform::upstream_changes>(step));
-  step = Await(client.NextUpstreams());
+  step = Await(client.NextUpstreams(kWait));
   BOOST_REQUIRE(Is<platform::upstream_listing>(step));
   const auto& listing = std::get<platform::upstream_listing>(step);
   BOOST_REQUIRE(listing.entries.size() == 1);
@@ -181,37 +182,45 @@
 
 BOOST_AUTO_TEST_CASE(entry_that_cannot_be_read_names_no_upstream) {
   store.Put("servers", "a", kEntry);
-  static_cast<void>(Await(client.NextUpstreams()));
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
   store.Put("servers", "a", R"({"service":"pool"})");
-  const auto step = Await(client.NextUpstreams());
+  const auto step = Await(client.NextUpstreams(kWait));
   BOOST_REQUIRE(Is<platform::upstream_changes>(step));
   const auto& changes = std::get<platform::upstream_changes>(step);
-  BOOST_TEST(changes.written.empty());
-  BOOST_REQUIRE(changes.gone.size() == 1);
-  BOOST_TEST(changes.gone.front() == "a");
+  BOOST_REQUIRE(changes.changes.size() == 1);
+  BOOST_TEST(changes.changes.front().id == "a");
+  BOOST_TEST(!changes.changes.front().entry);
 }
 
 /** The store's return must not be seen only with the next change: what leaves
  * then would be taken for an entry that lapsed in the outage. */
 BOOST_AUTO_TEST_CASE(store_that_returns_without_changes_is_seen_at_once) {
   store.Put("servers", "a", kEntry);
-  static_cast<void>(Await(client.NextUpstreams()));
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
   store.fault = store_fault::reset;
-  BOOST_TEST(Is<platform::store_away>(Await(client.NextUpstreams())));
+  BOOST_TEST(Is<platform::store_away>(Await(client.NextUpstreams(kWait))));
   store.fault = store_fault::none;
-  BOOST_TEST(Is<platform::upstream_changes>(Await(client.NextUpstreams())));
+  BOOST_TEST(
+      Is<platform::upstream_changes>(Await(client.NextUpstreams(kWait))));
   BOOST_TEST(store.calls.back().ends_with("wait_ms=0"));
-  static_cast<void>(Await(client.NextUpstreams()));
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
   BOOST_TEST(store.calls.back().ends_with("wait_ms=100"));
 }
 
+BOOST_AUTO_TEST_CASE(answer_that_never_comes_counts_as_an_outage) {
+  store.Put("servers", "a", kEntry);
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
+  store.fault = store_fault::silent;
+  BOOST_TEST(Is<platform::store_away>(Await(client.NextUpstreams(kWait))));
+}
+
 BOOST_AUTO_TEST_CASE(each_fault_of_the_store_is_reported_as_away) {
   store.Put("op", "config", "one");
-  static_cast<void>(Await(client.NextManifest()));
+  static_cast<void>(Await(client.NextManifest(kWait)));
   for (const auto fault : {store_fault::busy, store_fault::too_many,
                            store_fault::reset, store_fault::garbage}) {
     store.fault = fault;
-    BOOST_TEST(Is<platform::store_away>(Await(client.NextManifest())));
+    BOOST_TEST(Is<platform::store_away>(Await(client.NextManifest(kWait))));
   }
 }
 
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -25,30 +25,51 @@
   mono_time now{100s};
 
   two_upstreams() {
-    registry::OnListing(state, settings, {MakeUpstream("a"), MakeUpstream("b")},
-                        now);
+    registry::OnListing(
+        state, settings,
+        {{"a", 1, MakeUpstream("a")}, {"b", 2, MakeUpstream("b")}}, 10, now);
+  }
+
+  void Write(const registry::upstream& entry, std::uint64_t version) {
+    registry::OnChanges(state, settings, {{entry.id, version, entry}}, now);
+  }
+
+  void Remove(const std::string& id, std::uint64_t version) {
+    registry::OnChanges(state, settings, {{id, version, std::nullopt}}, now);
+  }
+
+  std::vector<std::string> Ids() const { return IdsOf(state); }
+
+  static std::vector<std::string> IdsOf(const registry::upstream_set& of) {
+    std::vector<std::string> out;
+    for (const auto& [id, held] : of.by_id) {
+      out.push_back(id);
+    }
+    return out;
   }
 };
 
+using strings = std::vector<std::string>;
+
 BOOST_FIXTURE_TEST_SUITE(entries, two_upstreams)
 
 BOOST_AUTO_TEST_CASE(upstream_that_drains_gets_no_new_work) {
   auto draining = MakeUpstream("a");
   draining.draining = true;
-  registry::OnEntry(state, draining);
+  Write(draining, 11);
   const auto usable = registry::Usable(state, "pool");
   BOOST_REQUIRE(usable.size() == 1);
   BOOST_TEST(usable.front()->id == "b");
 }
 
 BOOST_AUTO_TEST_CASE(entry_gone_in_calm_drops_at_once) {
-  registry::OnEntryGone(state, settings, "a", now);
+  Remove("a", 11);
   BOOST_TEST(registry::Usable(state, "pool").size() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(equal_entry_changes_no_generation) {
   const auto before = state.generation;
-  registry::OnEntry(state, MakeUpstream("a"));
+  Write(MakeUpstream("a"), 11);
   BOOST_TEST(state.generation == before);
 }
 
@@ -62,7 +83,7 @@
 BOOST_AUTO_TEST_CASE(other_service_at_the_same_address_is_not_usable) {
   auto moved = MakeUpstream("c");
   moved.service = "other";
-  registry::OnEntry(state, moved);
+  Write(moved, 11);
   BOOST_TEST(registry::Usable(state, "pool").size() == 2);
   BOOST_TEST(registry::Usable(state, "other").size() == 1);
 }
@@ -73,7 +94,8 @@
 
 BOOST_AUTO_TEST_CASE(entry_lapsed_in_outage_stays_until_it_could_be_back) {
   registry::OnStoreBack(state, now);
-  registry::OnListing(state, settings, {MakeUpstream("b")}, now + 10ms);
+  registry::OnListing(state, settings, {{"b", 2, MakeUpstream("b")}}, 11,
+                      now + 10ms);
   registry::Tick(state, now + 2s);
   BOOST_TEST(registry::Usable(state, "pool").size() == 2);
   registry::Tick(state, now + settings.return_grace);
@@ -82,18 +104,144 @@
 
 BOOST_AUTO_TEST_CASE(entry_back_within_the_grace_stays_for_good) {
   registry::OnStoreBack(state, now);
-  registry::OnEntryGone(state, settings, "a", now + 10ms);
-  registry::OnEntry(state, MakeUpstream("a"));
+  now += 10ms;
+  Remove("a", 11);
+  Write(MakeUpstream("a"), 12);
   registry::Tick(state, now + 10s);
   BOOST_TEST(registry::Usable(state, "pool").size() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(entry_gone_long_after_an_outage_drops_at_once) {
   registry::OnStoreBack(state, now);
-  registry::OnEntryGone(state, settings, "a", now + 5s);
+  now += 5s;
+  Remove("a", 11);
   BOOST_TEST(registry::Usable(state, "pool").size() == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(versions, two_upstreams)
+
+BOOST_AUTO_TEST_CASE(change_that_is_reflected_already_is_dropped) {
+  auto draining = MakeUpstream("a");
+  draining.draining = true;
+  Write(draining, 12);
+  Write(MakeUpstream("a"), 11);
+  BOOST_TEST(state.by_id.at("a").entry->draining);
+  Remove("b", 13);
+  Write(MakeUpstream("b"), 12);
+  BOOST_TEST(Ids() == strings{"a"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(changes_of_one_transaction_are_all_taken) {
+  registry::OnChanges(state, settings,
+                      {{"c", 11, MakeUpstream("c")}, {"a", 11, std::nullopt}},
+                      now);
+  BOOST_TEST(Ids() == (strings{"b", "c"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(older_listing_is_dropped) {
+  Write(MakeUpstream("c"), 12);
+  registry::OnListing(state, settings, {{"a", 1, MakeUpstream("a")}}, 11, now);
+  BOOST_TEST(Ids().size() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/** A process that follows another one's set. */
+struct leader_and_follower : two_upstreams {
+  registry::upstream_set follower;
+
+  bool Follow() {
+    return registry::Adopt(
+        follower, registry::ChangesSince(state, follower.version, now), now);
+  }
+
+  void CheckEqual() const {
+    BOOST_TEST(IdsOf(follower) == Ids(), boost::test_tools::per_element());
+    BOOST_TEST(follower.version == state.version);
+    for (const auto& [id, held] : state.by_id) {
+      BOOST_TEST((*follower.by_id.at(id).entry == *held.entry));
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(copies, leader_and_follower)
+
+BOOST_AUTO_TEST_CASE(follower_without_any_state_gets_the_whole_set) {
+  BOOST_TEST(Follow());
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(later_updates_hold_what_changed_only) {
+  Follow();
+  Write(MakeUpstream("c"), 11);
+  Remove("a", 12);
+  const auto update = registry::ChangesSince(state, follower.version, now);
+  BOOST_TEST(update.written.size() == 1);
+  BOOST_TEST(update.gone.size() == 1);
+  BOOST_TEST(Follow());
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(upstream_that_went_and_came_back_stays) {
+  Follow();
+  Remove("a", 11);
+  Write(MakeUpstream("a"), 12);
+  BOOST_TEST(Follow());
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(update_that_is_not_newer_is_dropped) {
+  Follow();
+  BOOST_TEST(!Follow());
+  const auto old = registry::ChangesSince(state, 0, now);
+  Write(MakeUpstream("c"), 11);
+  Follow();
+  BOOST_TEST(!registry::Adopt(follower, old, now));
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(update_that_does_not_join_on_is_dropped) {
+  Write(MakeUpstream("c"), 11);
+  Write(MakeUpstream("d"), 12);
+  const auto late = registry::ChangesSince(state, 11, now);
+  BOOST_TEST(!registry::Adopt(follower, late, now));
+}
+
+BOOST_AUTO_TEST_CASE(removals_that_are_forgotten_bring_the_whole_set) {
+  Follow();
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    const auto id = "x" + std::to_string(i);
+    Write(MakeUpstream(id), 11 + 2 * i);
+    Remove(id, 12 + 2 * i);
+  }
+  Remove("a", 5000);
+  BOOST_TEST(registry::ChangesSince(state, follower.version, now).since == 0);
+  BOOST_TEST(Follow());
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(upstream_that_may_come_back_is_dropped_by_both_in_time) {
+  Follow();
+  registry::OnStoreBack(state, now);
+  Remove("a", 11);
+  Follow();
+  CheckEqual();
+  registry::Tick(follower, now + settings.return_grace);
+  BOOST_TEST(IdsOf(follower) == strings{"b"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(upstream_dropped_after_its_grace_is_told_as_gone) {
+  Follow();
+  registry::OnStoreBack(state, now);
+  Remove("a", 11);
+  now += settings.return_grace;
+  registry::Tick(state, now);
+  Follow();
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
