Split the attempt and the store's codec out, add gauges and raw-caller tests

The holder of the lease removes its rows of billing windows once a hundred newer ones exist. New process tests: requests hidden by two framings, a request inside a body, callers that never read, half a request; all pass without a change of the server.

Ruled out by them: a smuggled request reaching an upstream in these six framings.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -10,6 +10,7 @@
 
 #include "mimosadeckd/edge/duties.h"
 #include "mimosadeckd/edge/gossip.h"
+#include "mimosadeckd/edge/observe.h"
 #include "mimosadeckd/edge/requests.h"
 #include "mimosadeckd/edge/state.h"
 #include "mimosadeckd/edge/sync.h"
@@ -158,6 +159,7 @@
                        "application/octet-stream");
     }
     if (request.target == "/metrics") {
+      RefreshGauges(state_);
       return PlainText(state_.metrics.Text(), "text/plain; version=0.0.4");
     }
     return NotFound();
--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -17,6 +17,9 @@
 constexpr int kRenewalsPerTerm = 3;
 /** Windows whose frozen figures are kept. */
 constexpr metering::window_number kWindowsKept = 20;
+/** Rows of frozen figures that a holder leaves in the store: reports are due
+ * long before the oldest of them is removed. */
+constexpr std::size_t kRowsKept = 100;
 
 bool HasDuty(const platform::machine_settings& machine, std::string_view name) {
   return std::find(machine.duties.begin(), machine.duties.end(), name) !=
@@ -224,6 +227,10 @@
     const auto answer = co_await state_.platform.SetCapacity(std::move(wanted));
     sizing::OnAnswer(planner, sizing_options_, *due, internal::AnswerOf(answer),
                      SuspendAwareNow());
+    state_.metrics.Count("mimosadeck_capacity_orders_total", "answer",
+                         std::string(internal::NameOf(answer)));
+    state_.metrics.Set("mimosadeck_upstreams_needed", "service", service.name,
+                       planner.need.value_or(0));
     telemetry::Log(
         telemetry::level::info, "capacity_ordered",
         {{"service", service.name},
@@ -247,9 +254,18 @@
   infra::commit wanted;
   wanted.conditions.push_back({key, 0});
   wanted.writes.push_back({key, own});
+  const bool removes = frozen_.size() >= internal::kRowsKept;
+  if (removes) {
+    wanted.writes.push_back(
+        {internal::WindowKey(frozen_.front()), std::nullopt});
+  }
   infra::request request = std::move(wanted);
   const auto reply = co_await state_.platform.Send(std::move(request));
   if (std::holds_alternative<infra::committed>(reply)) {
+    if (removes) {
+      frozen_.pop_front();
+    }
+    frozen_.push_back(window);
     co_return own;
   }
   if (!std::holds_alternative<infra::conflict>(reply)) {
@@ -276,6 +292,8 @@
     co_return;
   }
   const bool accepted = std::holds_alternative<infra::report_accepted>(reply);
+  state_.metrics.Count("mimosadeck_usage_reports_total", "accepted",
+                       accepted ? "yes" : "unknown");
   telemetry::Log(telemetry::level::info, "usage_reported",
                  {{"window", std::to_string(window)},
                   {"fencing", std::to_string(state_.lease.fencing)},
--- a/apps/mimosadeckd/edge/duties.h
+++ b/apps/mimosadeckd/edge/duties.h
@@ -1,6 +1,7 @@
 #ifndef APPS_MIMOSADECKD_EDGE_DUTIES_H_
 #define APPS_MIMOSADECKD_EDGE_DUTIES_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,6 +46,8 @@
   std::map<std::string, sizing::planner> planners_;
   sizing::options sizing_options_;
   std::set<metering::window_number> reported_;
+  /** Windows whose rows this process wrote and has not removed. */
+  std::deque<metering::window_number> frozen_;
   metering::window_number first_window_{};
   mono_time quiet_until_;
   bool was_held_{};
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -1,9 +1,6 @@
-#include <algorithm>
-#include <array>
-
 #include <boost/asio/use_awaitable.hpp>
 
-#include "mimosadeckd/edge/work.h"
+#include "mimosadeckd/edge/attempt.h"
 
 namespace mimosadeck::edge {
 namespace internal {
@@ -14,300 +11,11 @@
 using forwarding::next_step;
 using steady = std::chrono::steady_clock;
 
-/** Connecting takes a round trip; a lost packet costs a second, so another
- * upstream is tried before. */
-constexpr std::chrono::milliseconds kConnectTimeout{250};
-/** A request that must not run twice is sent only on a connection that was used
- * just now, since one that the upstream has closed leaves its fate unknown. */
-constexpr std::chrono::milliseconds kLongestIdleOnce{500};
-constexpr std::chrono::milliseconds kLongestIdle{5000};
-constexpr std::size_t kMostAnswerBytes = 16U << 20U;
-/** Answers of other requests that are skipped on a connection. */
-constexpr int kMostStrayAnswers = 2;
-constexpr int kFirstServerError = 500;
 constexpr int kTimeLimitPassed = 504;
 /** Retry-After when no upstream can be reached: registrations and connections
  * come back within about this time. */
 constexpr std::chrono::milliseconds kNoUpstreamPause{400};
 
-/** @brief Tells whether a status promises that the request has not run. */
-bool IsPromise(int status) {
-  constexpr std::array kPromises{408, 421, 429, 503};
-  return std::find(kPromises.begin(), kPromises.end(), status) !=
-         kPromises.end();
-}
-
-/** @brief A whole answer that an upstream gave. */
-struct whole_answer {
-  net::http_response response;
-  bool is_good{};
-};
-
-/** @brief A stream that was passed on to its end. */
-struct stream_done {};
-
-/** @brief An attempt that brought no answer for the caller. */
-struct attempt_failure {
-  attempt_end end{attempt_end::broke_off};
-  bool silent{};
-  std::string reason;
-  /** What the upstream reported, where it did. */
-  std::optional<net::http_response> reported;
-};
-
-using attempt_result = std::variant<whole_answer, stream_done, attempt_failure>;
-
-std::chrono::microseconds Since(steady::time_point start) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(steady::now() -
-                                                               start);
-}
-
-std::chrono::milliseconds Ms(std::chrono::microseconds time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
-}
-
-/** @brief One attempt at one upstream. */
-class attempt {
- public:
-  attempt(edge_state& state,
-          std::shared_ptr<work> work,
-          placement::ticket ticket,
-          net::exchange& exchange)
-      : state_(state),
-        work_(std::move(work)),
-        ticket_(std::move(ticket)),
-        exchange_(exchange),
-        call_(state.upstream_connections, state.io.get_executor()) {}
-  ~attempt() { work_->call = nullptr; }
-  attempt(const attempt&) = delete;
-  attempt& operator=(const attempt&) = delete;
-
-  asio::awaitable<attempt_result> Run() {
-    auto& pool = state_.pools[work_->service];
-    placement::OnSent(pool, state_.placement_options, ticket_, work_->job,
-                      SuspendAwareNow());
-    started_ = steady::now();
-    work_->call = &call_;
-    auto outcome = co_await Exchange();
-    placement::OnEnded(pool, ticket_, begun_);
-    Report(pool, outcome);
-    co_return outcome;
-  }
-
- private:
-  asio::awaitable<attempt_result> Exchange() {
-    auto request = platform::EncodeForUpstream(work_->received, Facts());
-    auto options = Options();
-    if (auto failed =
-            co_await call_.Send(std::move(request), std::move(options))) {
-      co_return Failure(*failed);
-    }
-    auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
-    for (int i = 0;
-         !answer.request_id.empty() && answer.request_id != work_->asked.id &&
-         i < kMostStrayAnswers;
-         ++i) {
-      if (auto failed = co_await call_.SkipToNext()) {
-        co_return Failure(*failed);
-      }
-      answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
-    }
-    if (!answer.request_id.empty() && answer.request_id != work_->asked.id) {
-      co_return attempt_failure{attempt_end::broke_off, false,
-                                "answer of another request", std::nullopt};
-    }
-    constexpr int kOk = 200;
-    const bool streams = work_->route->kind == routing::request_kind::stream &&
-                         call_.Status() == kOk && answer.is_event_stream &&
-                         !answer.not_run;
-    if (streams && answer.is_signed) {
-      auto outcome = co_await PassStreamOn();
-      co_return outcome;
-    }
-    auto outcome = co_await TakeWhole(answer);
-    co_return outcome;
-  }
-
-  asio::awaitable<attempt_result> TakeWhole(platform::upstream_answer answer) {
-    auto body = co_await call_.ReadBody(kMostAnswerBytes);
-    if (const auto* failed = std::get_if<net::call_failure>(&body)) {
-      co_return Failure(*failed);
-    }
-    net::http_response response;
-    response.status = call_.Status();
-    response.fields = platform::FieldsForCaller(call_.Fields());
-    response.body = std::get<std::string>(std::move(body));
-    if (answer.not_run) {
-      co_return attempt_failure{attempt_end::refused, false,
-                                "status " + std::to_string(response.status),
-                                std::nullopt};
-    }
-    OnBegun();
-    if (response.status >= kFirstServerError || IsPromise(response.status)) {
-      co_return attempt_failure{attempt_end::failed, false,
-                                "status " + std::to_string(response.status),
-                                std::move(response)};
-    }
-    constexpr int kFirstRedirect = 300;
-    const bool is_success = response.status < kFirstRedirect;
-    if ((is_success && !answer.is_signed) || work_->progress.answer_begun) {
-      co_return attempt_failure{attempt_end::broke_off, false,
-                                "answer is not the upstream's", std::nullopt};
-    }
-    co_return whole_answer{std::move(response), is_success};
-  }
-
-  asio::awaitable<attempt_result> PassStreamOn() {
-    while (true) {
-      auto piece = co_await call_.ReadPiece();
-      if (const auto* failed = std::get_if<net::call_failure>(&piece)) {
-        work_->events.rest.clear();
-        co_return Failure(*failed);
-      }
-      const auto& bytes = std::get<std::string>(piece);
-      if (bytes.empty()) {
-        break;
-      }
-      auto whole = answer::TakeWholeEvents(work_->events, bytes);
-      if (whole.empty()) {
-        continue;
-      }
-      OnBegun();
-      NotePause();
-      const bool taken = co_await PassOn(std::move(whole));
-      if (!taken) {
-        call_.Close();
-        work_->caller_left = true;
-        co_return Failure({net::call_progress::sent, false, "caller left"});
-      }
-    }
-    if (!work_->events.rest.empty() || !begun_) {
-      work_->events.rest.clear();
-      co_return attempt_failure{attempt_end::broke_off, false,
-                                "stream ended inside an event", std::nullopt};
-    }
-    co_return stream_done{};
-  }
-
-  asio::awaitable<bool> PassOn(std::string events) {
-    if (!work_->progress.answer_begun) {
-      work_->progress.answer_begun = true;
-      auto fields = platform::FieldsForCaller(call_.Fields());
-      const bool begun =
-          co_await exchange_.BeginStream(call_.Status(), std::move(fields));
-      if (!begun) {
-        co_return false;
-      }
-    }
-    const bool written = co_await exchange_.WriteChunk(std::move(events));
-    co_return written;
-  }
-
-  void NotePause() {
-    const auto now = steady::now();
-    if (work_->progress.answer_begun) {
-      const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
-          now - work_->last_piece);
-      work_->longest_pause = std::max(work_->longest_pause, pause);
-    }
-    work_->last_piece = now;
-  }
-
-  [[nodiscard]] platform::send_facts Facts() const {
-    platform::send_facts out;
-    out.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        work_->deadline - steady::now());
-    out.upstream_id = ticket_.entry->id;
-    out.account = work_->AccountName();
-    out.priority = work_->Urgency();
-    if (work_->progress.answer_begun) {
-      out.resume_after = work_->events.last_id;
-    }
-    return out;
-  }
-
-  [[nodiscard]] net::call_options Options() const {
-    net::call_options out;
-    out.server = ticket_.incarnation;
-    out.address = ticket_.entry->address;
-    out.connect_timeout = kConnectTimeout;
-    out.deadline = work_->deadline;
-    out.longest_idle = forwarding::IsRepeatable(*work_->route)
-                           ? kLongestIdle
-                           : kLongestIdleOnce;
-    return out;
-  }
-
-  static attempt_failure Failure(const net::call_failure& failed) {
-    return {failed.progress == net::call_progress::not_sent
-                ? attempt_end::not_connected
-                : attempt_end::broke_off,
-            failed.silent, failed.message, std::nullopt};
-  }
-
-  void OnBegun() {
-    if (begun_) {
-      return;
-    }
-    begun_ = true;
-    const auto taken = Since(started_);
-    if (!work_->begun_after) {
-      work_->begun_after = Ms(Since(work_->arrived));
-    }
-    placement::OnBegun(state_.pools[work_->service], ticket_, taken);
-    if (work_->account) {
-      metering::Count(state_.tally,
-                      SourceName(state_.machine.name, state_.incarnation),
-                      metering::WindowAt(FleetTime(state_),
-                                         state_.machine.bounds.billing_window),
-                      work_->account->name);
-    }
-  }
-
-  void Report(placement::pool& pool, const attempt_result& outcome) {
-    const auto now = SuspendAwareNow();
-    const auto* failed = std::get_if<attempt_failure>(&outcome);
-    const bool is_callers_doing = work_->caller_left;
-    if (is_callers_doing || (failed && failed->end == attempt_end::refused)) {
-      return;
-    }
-    auto seen = outlier::outcome::served;
-    if (failed) {
-      seen = failed->end == attempt_end::not_connected || failed->silent
-                 ? outlier::outcome::unreachable
-                 : outlier::outcome::failed;
-    }
-    placement::OnOutcome(pool, state_.placement_options, ticket_, seen,
-                         Since(started_), now);
-    if (failed && failed->end == attempt_end::broke_off && !failed->silent) {
-      NoteCrash(now);
-    }
-  }
-
-  /** A connection that broke while the request ran may mean that the request
-   * crashed the upstream. */
-  void NoteCrash(mono_time now) {
-    const auto fingerprint = FingerprintOf(*work_);
-    static_cast<void>(
-        quarantine::OnCrash(state_.ward, state_.quarantine_options,
-                            ticket_.incarnation, {fingerprint}, now));
-    if (quarantine::IsCondemned(state_.ward, fingerprint)) {
-      telemetry::Log(telemetry::level::warning, "request_condemned",
-                     {{"request", work_->asked.id},
-                      {"fingerprint", fingerprint},
-                      {"upstream", ticket_.incarnation}});
-    }
-  }
-
-  edge_state& state_;
-  std::shared_ptr<work> work_;
-  placement::ticket ticket_;
-  net::exchange& exchange_;
-  net::http_call call_;
-  steady::time_point started_;
-  bool begun_{};
-};
-
 std::string_view NameOf(attempt_end end) {
   switch (end) {
     case attempt_end::not_connected:
@@ -403,7 +111,7 @@
             const work& work,
             int status,
             std::string_view outcome) {
-  const auto taken = internal::Ms(internal::Since(work.arrived));
+  const auto taken = Ms(Since(work.arrived));
   const auto route = work.route ? work.route->name : std::string("none");
   state.metrics.Count("mimosadeck_requests_total", "outcome",
                       std::string(outcome));
@@ -411,6 +119,10 @@
   if (work.begun_after) {
     state.metrics.Observe("mimosadeck_first_answer_seconds", "route", route,
                           *work.begun_after);
+    if (work.expected) {
+      state.metrics.Observe("mimosadeck_expected_first_answer_seconds", "route",
+                            route, *work.expected);
+    }
   }
   telemetry::Log(
       telemetry::level::info, "request_ended",
@@ -480,26 +192,29 @@
     work->expected = ticket->expected;
     work->is_long = ticket->is_long;
     work->beside_long = ticket->beside_long;
-    internal::attempt_result outcome;
-    {
-      internal::attempt attempt(state, work, *ticket, exchange);
-      outcome = co_await attempt.Run();
-    }
+    auto chosen = *ticket;
+    auto outcome =
+        co_await RunAttempt(state, work, std::move(chosen), exchange);
     work->attempts += (work->attempts.empty() ? "" : " ") + ticket->entry->id;
-    if (auto* whole = std::get_if<internal::whole_answer>(&outcome)) {
+    if (auto* whole = std::get_if<whole_answer>(&outcome)) {
       const auto status = whole->response.status;
       co_await exchange.Respond(std::move(whole->response));
       LogEnd(state, *work, status, whole->is_good ? "served" : "passed_on");
       co_return;
     }
-    if (std::holds_alternative<internal::stream_done>(outcome)) {
+    if (std::holds_alternative<stream_done>(outcome)) {
       const bool ended = co_await exchange.EndStream();
       LogEnd(state, *work, 200, ended ? "served" : "caller_left");
       co_return;
     }
-    auto& failed = std::get<internal::attempt_failure>(outcome);
+    auto& failed = std::get<attempt_failure>(outcome);
     work->attempts += ':' + std::string(internal::NameOf(failed.end));
     const bool covered = internal::IsCovered(state, *work, failed.end);
+    state.metrics.Count("mimosadeck_attempts_failed_total", "end",
+                        std::string(internal::NameOf(failed.end)));
+    if (covered) {
+      state.metrics.Count("mimosadeck_repeats_total", "service", work->service);
+    }
     const auto next = forwarding::OnAttemptEnd(work->progress, {}, *work->route,
                                                failed.end, covered);
     internal::LogAttempt(*work, *ticket, failed, next);
--- /dev/null
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -0,0 +1,73 @@
+#include "mimosadeckd/edge/observe.h"
+
+namespace mimosadeck::edge {
+namespace internal {
+namespace {
+
+double Seconds(mono_duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+void ObservePool(telemetry::metrics& metrics,
+                 const std::string& service,
+                 const placement::pool& pool,
+                 mono_time now) {
+  placement::load all;
+  int ejected = 0;
+  for (const auto& [name, candidate] : pool.candidates) {
+    const auto load = placement::TotalLoad(candidate);
+    all.running += load.running;
+    all.unread_tokens += load.unread_tokens;
+    ejected += outlier::IsEjected(candidate.health, now) ? 1 : 0;
+  }
+  metrics.Set("mimosadeck_upstreams", "service", service,
+              static_cast<double>(pool.candidates.size()));
+  metrics.Set("mimosadeck_upstreams_ejected", "service", service, ejected);
+  metrics.Set("mimosadeck_upstream_requests_running", "service", service,
+              all.running);
+  metrics.Set("mimosadeck_upstream_unread_tokens", "service", service,
+              all.unread_tokens);
+  metrics.Set("mimosadeck_reading_seconds_per_token", "service", service,
+              placement::MsPerToken(pool.reading) / 1000);
+}
+
+}  // namespace
+}  // namespace internal
+
+void RefreshGauges(edge_state& state) {
+  const auto now = SuspendAwareNow();
+  auto& metrics = state.metrics;
+  const auto& entry = state.machine.name;
+  metrics.Set("mimosadeck_ready", "entry", entry, IsReady(state) ? 1 : 0);
+  metrics.Set("mimosadeck_manifest_version", "entry", entry,
+              state.table ? static_cast<double>(state.table->Version()) : 0);
+  metrics.Set("mimosadeck_registry_version", "entry", entry,
+              static_cast<double>(state.upstreams.version));
+  metrics.Set("mimosadeck_registry_current", "entry", entry,
+              IsRegistryCurrent(state) ? 1 : 0);
+  if (state.registry_fresh_at) {
+    metrics.Set("mimosadeck_registry_age_seconds", "entry", entry,
+                internal::Seconds(now - *state.registry_fresh_at));
+  }
+  metrics.Set("mimosadeck_store_followed", "entry", entry,
+              state.store_followed ? 1 : 0);
+  metrics.Set("mimosadeck_entries_heard", "entry", entry,
+              static_cast<double>(
+                  fleet::Live(state.members, state.fleet_options, now).size()));
+  metrics.Set("mimosadeck_clock_correction_seconds", "entry", entry,
+              internal::Seconds(fleet::ClockCorrection(
+                  state.members, state.fleet_options, now)));
+  metrics.Set("mimosadeck_lease_held", "entry", entry,
+              lease::IsHeld(state.lease, now) ? 1 : 0);
+  metrics.Set("mimosadeck_suspect_requests", "entry", entry,
+              static_cast<double>(state.ward.suspects.size()));
+  for (const auto& [service, pool] : state.pools) {
+    internal::ObservePool(metrics, service, pool, now);
+  }
+  for (const auto& [service, budget] : state.budgets) {
+    metrics.Set("mimosadeck_retry_budget", "service", service,
+                budget.tokens.value_or(0));
+  }
+}
+
+}  // namespace mimosadeck::edge
--- /dev/null
+++ b/apps/mimosadeckd/edge/observe.h
@@ -0,0 +1,13 @@
+#ifndef APPS_MIMOSADECKD_EDGE_OBSERVE_H_
+#define APPS_MIMOSADECKD_EDGE_OBSERVE_H_
+
+#include "mimosadeckd/edge/state.h"
+
+namespace mimosadeck::edge {
+
+/** @brief Sets the gauges that describe what this entry believes now. */
+void RefreshGauges(edge_state& state);
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_OBSERVE_H_
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -56,6 +56,19 @@
   }
 };
 
+/** @brief Returns the time since a start. */
+[[nodiscard]] inline std::chrono::microseconds Since(
+    std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::steady_clock::now() - start);
+}
+
+/** @brief Returns a time in whole milliseconds. */
+[[nodiscard]] inline std::chrono::milliseconds Ms(
+    std::chrono::microseconds time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
 /** @brief Carries a request to upstreams and the answer back. */
 [[nodiscard]] asio::awaitable<void> Forward(edge_state& state,
                                             std::shared_ptr<work> work,
--- a/test/logbook/logbook_test.cc
+++ b/test/logbook/logbook_test.cc
@@ -1,12 +1,6 @@
 #define BOOST_TEST_MODULE logbook
 #include <boost/test/included/unit_test.hpp>
 
-#include <filesystem>
-#include <fstream>
-#include <regex>
-#include <set>
-#include <sstream>
-
 #include "logbook/logbook.h"
 
 namespace {
@@ -104,56 +98,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-std::string ReadFile(const std::filesystem::path& path) {
-  std::ifstream file(path);
-  std::stringstream out;
-  out << file.rdbuf();
-  return out.str();
-}
-
-std::set<std::string> Matches(const std::string& text,
-                              const std::string& expression) {
-  const std::regex pattern(expression);
-  std::set<std::string> out;
-  for (std::sregex_iterator each(text.begin(), text.end(), pattern), end;
-       each != end; ++each) {
-    out.insert((*each)[1].str());
-  }
-  return out;
-}
-
-/** The events that the sources log and those that the page lists. */
-struct source_and_page {
-  std::filesystem::path root{std::getenv("MIMOSADECK_SOURCE")};
-  std::set<std::string> logged;
-  std::set<std::string> listed;
-
-  source_and_page() {
-    for (const auto* directory : {"apps/mimosadeckd/edge", "platform"}) {
-      for (const auto& file :
-           std::filesystem::directory_iterator(root / directory)) {
-        logged.merge(Matches(
-            ReadFile(file.path()),
-            R"re(Log(?:Upstream)?\(\s*(?:telemetry::level::\w+,\s*)?"(\w+)")re"));
-      }
-    }
-    std::istringstream page(ReadFile(root / "docs/LOGS.md"));
-    for (std::string row; std::getline(page, row);) {
-      if (row.starts_with("| `")) {
-        listed.merge(
-            Matches(row.substr(0, row.find('|', 1)), R"re(`(\w+)`)re"));
-      }
-    }
-  }
-};
-
-BOOST_FIXTURE_TEST_SUITE(table_of_events, source_and_page)
-
-BOOST_AUTO_TEST_CASE(page_lists_exactly_the_events_of_the_code) {
-  BOOST_TEST(logged.size() > 10);
-  BOOST_TEST(logged == listed, boost::test_tools::per_element());
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 }  // namespace
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -9,7 +9,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
+#include "net/address.h"
 #include "platform/store_stand_in.h"
 #include "platform/upstream_stand_in.h"
 #include "system/deployment.h"
@@ -260,6 +263,125 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A caller that writes bytes of its own choice. */
+struct raw_caller : one_entry {
+  boost::asio::ip::tcp::socket socket{io};
+
+  void Connect() { socket.connect(net::ParseEndpoint(callers)); }
+
+  void Write(const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+  }
+
+  /** Reads for a while, also to the end of the connection. */
+  std::string Read(std::chrono::milliseconds time) {
+    std::string out;
+    const auto end = std::chrono::steady_clock::now() + time;
+    socket.non_blocking(true);
+    while (std::chrono::steady_clock::now() < end) {
+      std::array<char, 4096> buffer{};
+      boost::system::error_code failure;
+      const auto size = socket.read_some(boost::asio::buffer(buffer), failure);
+      out.append(buffer.data(), size);
+      if (failure && failure != boost::asio::error::would_block) {
+        break;
+      }
+      io.restart();
+      io.run_for(5ms);
+    }
+    return out;
+  }
+
+  static std::string Head(const std::string& extra_fields) {
+    return "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n"
+           "X-Request-Id: outer\r\nX-Api-Key: k1\r\n" +
+           extra_fields + "\r\n";
+  }
+
+  static std::string Inner() {
+    return "POST /unsafe/y HTTP/1.1\r\nHost: h.example\r\n"
+           "X-Request-Id: inner\r\nX-Api-Key: k1\r\n"
+           "Content-Length: 0\r\n\r\n";
+  }
+
+  bool RanInner() const {
+    for (const auto* each : {&first, &second}) {
+      for (const auto& run : each->runs) {
+        if (run.request.fields.at("x-request-id") == "inner") {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(raw_connections, raw_caller)
+
+BOOST_AUTO_TEST_CASE(request_hidden_by_two_framings_does_not_run) {
+  const std::vector<std::string> framings{
+      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length: 4\r\nContent-Length: 40\r\n",
+      "Content-Length: +4\r\n",
+      "Transfer-Encoding: identity, chunked\r\nContent-Length: 4\r\n",
+      "Transfer-Encoding : chunked\r\n",
+      "Content-Length: 4 4\r\n",
+  };
+  for (const auto& each : framings) {
+    socket = boost::asio::ip::tcp::socket(io);
+    Connect();
+    Write(Head(each) + "0\r\n\r\n" + Inner());
+    const auto got = Read(300ms);
+    BOOST_TEST_CONTEXT(each) {
+      BOOST_TEST(!RanInner());
+      BOOST_TEST(got.find(" 200 ") == std::string::npos);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_inside_a_body_does_not_run) {
+  Connect();
+  Write(Head("Content-Length: " + std::to_string(Inner().size()) + "\r\n") +
+        Inner());
+  std::string got;
+  BOOST_TEST(Eventually([&] {
+    got += Read(20ms);
+    return got.find(" 200 ") != std::string::npos;
+  }));
+  BOOST_TEST(!RanInner());
+  BOOST_TEST(Runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_never_reads_holds_up_no_other) {
+  SetAnswers(answer::slow_stream);
+  std::vector<boost::asio::ip::tcp::socket> lazy;
+  for (int i = 0; i < 20; ++i) {
+    auto& each = lazy.emplace_back(io);
+    each.connect(net::ParseEndpoint(callers));
+    boost::asio::write(
+        each, boost::asio::buffer("POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+                                  "X-Request-Id: lazy-" +
+                                  std::to_string(i) +
+                                  "\r\nX-Api-Key: k1\r\n"
+                                  "Content-Length: 0\r\n\r\n"));
+  }
+  BOOST_REQUIRE(Eventually([this] { return Runs() >= 8; }));
+  SetAnswers(answer::good);
+  BOOST_TEST(Call("/safe/x").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(caller_that_sends_half_a_request_is_not_forwarded) {
+  Connect();
+  Write(Head("Content-Length: 40\r\n") + "half");
+  static_cast<void>(Read(200ms));
+  socket.close();
+  BOOST_TEST(Call("/safe/x").status == 200);
+  BOOST_TEST(Runs() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(streams, one_entry)
 
 BOOST_AUTO_TEST_CASE(stream_is_passed_on_whole) {
