Read a lease again after a lost race; keep records of relays fresh

It now reads the row before it may take over. lease_test's contender_that_lost_a_race_unread_never_reuses_a_number failed (1 <= 1).

--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -9,7 +9,17 @@
 git archive HEAD | tar -x -C "$copy"
 export MIMOSADECK_BUILD=$copy/build MIMOSADECK_SOURCE=$copy RC_PARAMS="seed=1 max_success=500"
 cmake -S "$copy" -B "$copy/build" -G Ninja >/dev/null
-mapfile -t tests < <(grep -v '^#' scripts/mutations.txt | grep -E "${1:-.}" | cut -d'|' -f2 | sort -u)
+# `soak:SEED` stands for a run of the soak with that seed.
+target_of() { case $1 in soak:*) echo mimosadeck_soak ;; *) echo "$1" ;; esac; }
+run_test() {
+  case $1 in
+    soak:*) timeout 200 "$copy/build/soak/mimosadeck_soak" --seed "${1#soak:}" --minutes 0.6 \
+      --processes 5 --daemon "$copy/build/soak/mimosadeckd_shifted_clock" --directory "$copy/soak_logs" ;;
+    *) timeout 120 "$copy/build/test/$1" ;;
+  esac
+}
+mapfile -t tests < <(grep -v '^#' scripts/mutations.txt | grep -E "${1:-.}" | cut -d'|' -f2 | sort -u |
+  while read -r test; do target_of "$test"; done | sort -u)
 cmake --build "$copy/build" --target "${tests[@]}" >/dev/null || exit 2
 failed=0
 mapfile -t mutations < <(grep -v '^#' scripts/mutations.txt | grep -E "${1:-.}")
@@ -21,16 +31,18 @@
   if cmp -s "$copy/saved" "$copy/$file"; then
     verdict="NOT APPLIED"
     failed=1
-  elif ! cmake --build "$copy/build" --target "$test" >"$copy/log" 2>&1; then
+  elif ! cmake --build "$copy/build" --target "$(target_of "$test")" >"$copy/log" 2>&1; then
     verdict="DOES NOT BUILD"
     failed=1
-  elif timeout 120 "$copy/build/test/$test" >/dev/null 2>&1; then
+  elif run_test "$test" >"$copy/output" 2>&1; then
     verdict="PASSES WITHOUT IT"
     failed=1
   else
     verdict="fails without it"
   fi
   printf '%-18s %-18s %s\n' "$verdict" "$test" "$what"
+  grep -o '^BROKEN [a-z_]*' "$copy/output" 2>/dev/null | sort | uniq -c
+  rm -f "$copy/output"
   cp "$copy/saved" "$copy/$file"
 done
 exit $failed
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -23,7 +23,7 @@
 }
 
 /** A relay's summary tells its own versions sooner than its record does. */
-void TakeVersions(members& state, const wire::summary& told, mono_time now) {
+void TakeVersions(members& state, const wire::summary& told) {
   const auto found = state.by_name.find(told.relay());
   if (found == state.by_name.end()) {
     return;
@@ -33,7 +33,6 @@
       std::max(last.manifest_version(), told.manifest_version()));
   last.set_registry_version(
       std::max(last.registry_version(), told.registry_version()));
-  found->second.heard_at = now;
 }
 
 bool TakesCallers(const member& of) {
@@ -115,7 +114,7 @@
   if (received.members_size() > 0) {
     return;
   }
-  internal::TakeVersions(state, received, now);
+  internal::TakeVersions(state, received);
   received.clear_suspects();
   state.work = fleet_work{std::move(received), now};
 }
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -152,11 +152,9 @@
     return;
   }
   if (std::holds_alternative<infra::conflict>(reply)) {
+    // The row must be read before its number can be exceeded.
     internal::BecomeFollower(state);
-    state.seen_since = now;
-    state.row_version = std::get<infra::conflict>(reply).version;
-    state.seen =
-        record{"unread", state.seen ? state.seen->fencing : 0, 0, false};
+    state.observed = false;
     state.next_action = now;
     return;
   }
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -387,6 +387,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(record_that_comes_right_after_a_summary_is_taken) {
+  wire::summary work;
+  work.set_relay(NameOf(1));
+  fleet::OnSummary(state, work, "self", wall, now + 200ms);
+  wire::summary records;
+  records.set_relay(NameOf(1));
+  auto& told = *records.add_members();
+  *told.mutable_record() = state.by_name[NameOf(1)].last;
+  told.mutable_record()->set_fencing(5);
+  told.mutable_record()->set_sequence(1000);
+  told.set_peer_address("relay:2");
+  fleet::OnSummary(state, records, "self", wall, now + 200ms);
+  BOOST_TEST(state.by_name[NameOf(1)].last.fencing() == 5);
+}
+
 BOOST_AUTO_TEST_CASE(member_that_did_not_answer_is_followed_by_another) {
   for (auto& [name, found] : state.by_name) {
     found.last.set_manifest_version(4);
--- a/test/lease/lease_test.cc
+++ b/test/lease/lease_test.cc
@@ -72,6 +72,33 @@
   BOOST_TEST(b.fencing > fencing);
 }
 
+BOOST_AUTO_TEST_CASE(contender_that_lost_a_race_unread_never_reuses_a_number) {
+  // Both saw the lease vacant; b loses the race and then cannot read the row.
+  for (auto* each : {&a, &b}) {
+    Cycle(*each);
+  }
+  now += 1s;
+  auto lost = lease::Tick(b, options, now, holder_departed);
+  BOOST_REQUIRE(lost);
+  Cycle(a);
+  BOOST_REQUIRE(lease::IsHeld(a, now));
+  lease::OnReply(b, options, Handle(store, *lost), now);
+  for (const auto end = now + 6s; now < end; now += 50ms) {
+    auto request = lease::Tick(b, options, now, holder_departed);
+    if (!request) {
+      continue;
+    }
+    const bool reads = std::holds_alternative<infra::read_row>(*request);
+    lease::OnReply(
+        b, options,
+        reads ? infra::reply{infra::unavailable{}} : Handle(store, *request),
+        now);
+  }
+  Run({&b}, 10s);
+  BOOST_TEST(lease::IsHeld(b, now));
+  BOOST_TEST(b.fencing > a.fencing);
+}
+
 BOOST_AUTO_TEST_CASE(holder_paused_at_each_step_never_two_holders) {
   for (const auto where : kSteps) {
     for (const auto pause : {2900ms, 3100ms, 4000ms, 9000ms}) {
