Tell work in packed lists, records when they change, and who is heard

Scratch log lines showed 77 members heard before traffic and 1 to 60 after, and the entries at the end of each data centre missing from the counts. Ruled out: partial knowledge of members (all knew 77), slow processors (0.006 cores).

Work goes as packed numbers in units of 64 tokens and in every second digest of a large fleet; relays pass records on when they change, else in eight turns, and tell only who is heard. A record is taken by its order, not by when it was heard, and keeps work and counts told before. A leaving entry is relayed. Gossip never blocks the thread on a full link. The sums of loads, written three times before, are one table (fleet/work_table).

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -28,6 +28,12 @@
 /** Keeps a datagram below 3 KB. */
 constexpr std::size_t kRecordsPerDatagram = 16;
 constexpr std::size_t kMostDatagramBytes = 60000;
+/** Followers that get all records in one round, so that a round stays small. */
+constexpr int kMostNewFollowers = 3;
+/** A follower that knows so many members less than its relay is new. */
+constexpr std::size_t kFewMembers = 3;
+/** Digests of a large fleet of which one tells the sender's work. */
+constexpr std::uint64_t kDigestsPerWork = 2;
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
 constexpr std::chrono::milliseconds kPeerMemory{120000};
@@ -39,25 +45,19 @@
   return address.substr(0, address.rfind(':'));
 }
 
-void FillLoads(const edge_state& state, wire::digest& out) {
+void FillWork(const edge_state& state, wire::digest& out) {
+  fleet::work_table own;
   for (const auto& [name, pool] : state.pools) {
     for (const auto& [incarnation, found] : pool.candidates) {
-      if (found.own == placement::load{}) {
-        continue;
-      }
-      auto& told = *out.add_loads();
-      told.set_upstream(found.rank);
-      told.set_running(found.own.running);
-      told.set_unread_tokens(found.own.unread_tokens);
-      told.set_held_tokens(found.own.held_tokens);
+      own.upstreams[fleet::UpstreamKey(found.rank)] = {
+          found.own.running, found.own.unread_tokens, found.own.held_tokens};
     }
     if (pool.own_demand.short_work > 0 || pool.own_demand.long_work > 0) {
-      auto& told = *out.add_demands();
-      told.set_service(Hash64(name));
-      told.set_short_work(static_cast<float>(pool.own_demand.short_work));
-      told.set_long_work(static_cast<float>(pool.own_demand.long_work));
+      own.services[Hash64(name)] = {pool.own_demand.short_work,
+                                    pool.own_demand.long_work};
     }
   }
+  *out.mutable_work() = fleet::Encode(own);
 }
 
 void FillCounts(const edge_state& state, wire::digest& out) {
@@ -106,7 +106,10 @@
               udp::endpoint(asio::ip::make_address(state.machine.ip),
                             state.machine.peer_port)),
       own_address_(state.machine.ip + ':' +
-                   std::to_string(socket_.local_endpoint().port())) {}
+                   std::to_string(socket_.local_endpoint().port())) {
+  // A full link must not hold up the traffic on this thread.
+  socket_.non_blocking(true);
+}
 
 void gossip::Start() {
   for (const auto& seed : state_.machine.seeds) {
@@ -205,7 +208,7 @@
   }
 }
 
-wire::digest gossip::MakeDigest() {
+wire::digest gossip::MakeDigest(bool with_work) {
   wire::digest out;
   const auto now = SuspendAwareNow();
   out.set_name(state_.machine.name);
@@ -221,9 +224,13 @@
                       .count());
   out.set_manifest_version(state_.table ? state_.table->Version() : 0);
   out.set_fencing(lease::IsHeld(state_.lease, now) ? state_.lease.fencing : 0);
+  out.set_members_known(
+      static_cast<std::uint32_t>(state_.members.by_name.size()));
   out.set_store_followed(state_.store_followed);
   out.set_registry_version(state_.upstreams.version);
-  internal::FillLoads(state_, out);
+  if (with_work) {
+    internal::FillWork(state_, out);
+  }
   return out;
 }
 
@@ -253,8 +260,11 @@
       takers.insert(each->peer_address);
     }
   }
+  // In a large fleet the relays' links are narrow beside so many digests.
+  const bool with_work = fleet::IsDense(state_.members, options) ||
+                         ++ticks_ % internal::kDigestsPerWork == 0;
   wire::datagram plain;
-  *plain.mutable_digest() = MakeDigest();
+  *plain.mutable_digest() = MakeDigest(with_work);
   plain.mutable_digest()->set_wants_summary(
       !fleet::IsDense(state_.members, options));
   if (is_full) {
@@ -288,39 +298,71 @@
 
 void gossip::SendSummaries(bool is_full) {
   const auto now = SuspendAwareNow();
-  const auto followers = fleet::Followers(state_.members, state_.fleet_options,
-                                          state_.machine.data_centre, now);
+  auto followers = fleet::Followers(state_.members, state_.fleet_options,
+                                    state_.machine.data_centre, now);
   if (followers.empty()) {
     return;
   }
-  const auto own = MakeDigest();
+  // What does not fit the link is lost, and must not always hit the same.
+  const auto first = static_cast<std::ptrdiff_t>(sequence_ % followers.size());
+  std::rotate(followers.begin(), followers.begin() + first, followers.end());
+  const auto own = MakeDigest(true);
   const auto sum = fleet::AddUp(state_.members, state_.fleet_options, own, now);
-  std::vector<wire::datagram> records;
-  if (is_full) {
-    records = MakeRecords(own, now);
-  }
   for (const auto* each : followers) {
     wire::datagram work;
     *work.mutable_summary() = sum;
     fleet::Subtract(*work.mutable_summary(), each->last);
     Send(work, each->peer_address);
-    for (const auto& part : records) {
+  }
+  if (is_full) {
+    SendRecords(followers, own);
+  }
+}
+
+void gossip::SendRecords(const std::vector<const fleet::member*>& followers,
+                         const wire::digest& own) {
+  const auto now = SuspendAwareNow();
+  const auto all = MakeRecords(own, now);
+  ++round_;
+  std::erase_if(passed_on_, [this](const auto& each) {
+    return each.first != state_.machine.name &&
+           !state_.members.by_name.contains(each.first);
+  });
+  std::vector<wire::relayed_member> due;
+  std::vector<wire::relayed_member> others;
+  for (const auto& each : all) {
+    auto& before = passed_on_[each.record().name()];
+    const bool is_due = fleet::IsRecordDue(
+        before.name().empty() ? nullptr : &before, each.record(), round_);
+    (is_due ? due : others).push_back(each);
+    if (is_due) {
+      before = each.record();
+    }
+  }
+  const auto news = MakeRecordDatagrams(due, others);
+  const auto whole = MakeRecordDatagrams(all, {});
+  auto left = internal::kMostNewFollowers;
+  for (const auto* each : followers) {
+    const bool is_new =
+        each->last.members_known() + internal::kFewMembers < all.size();
+    const bool gets_all = is_new && left > 0;
+    left -= gets_all ? 1 : 0;
+    for (const auto& part : gets_all ? whole : news) {
       Send(part, each->peer_address);
     }
   }
 }
 
-std::vector<wire::datagram> gossip::MakeRecords(const wire::digest& own,
-                                                mono_time now) {
-  std::vector<wire::relayed_member> all;
-  const auto add = [&all](const wire::digest& record,
+std::vector<wire::relayed_member> gossip::MakeRecords(const wire::digest& own,
+                                                      mono_time now) const {
+  std::vector<wire::relayed_member> out;
+  const auto add = [&out](const wire::digest& record,
                           const std::string& address,
                           std::chrono::milliseconds age) {
-    auto& told = all.emplace_back();
+    auto& told = out.emplace_back();
     *told.mutable_record() = record;
     auto& kept = *told.mutable_record();
-    kept.clear_loads();
-    kept.clear_demands();
+    kept.clear_work();
     kept.clear_windows();
     kept.clear_suspects();
     kept.clear_known_peers();
@@ -329,24 +371,35 @@
     told.set_age_ms(static_cast<std::uint32_t>(age.count()));
   };
   add(own, own_address_, std::chrono::milliseconds(0));
-  for (const auto* each :
-       fleet::Live(state_.members, state_.fleet_options, now)) {
-    add(each->last, each->peer_address,
-        std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                              each->heard_at));
+  for (const auto& [name, found] : state_.members.by_name) {
+    if (fleet::IsLive(state_.members, found, state_.fleet_options, now)) {
+      add(found.last, found.peer_address,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              now - found.heard_at));
+    }
   }
+  return out;
+}
+
+std::vector<wire::datagram> gossip::MakeRecordDatagrams(
+    const std::vector<wire::relayed_member>& records,
+    const std::vector<wire::relayed_member>& heard) const {
+  std::vector<wire::datagram> out(1);
+  auto& head = *out.front().mutable_summary();
+  head.set_relay(state_.machine.name);
   wire::digest news;
   internal::FillSuspects(state_, news);
-  std::vector<wire::datagram> out;
-  for (std::size_t i = 0; i < all.size(); ++i) {
+  *head.mutable_suspects() = news.suspects();
+  for (const auto& each : heard) {
+    auto& told = *head.add_heard();
+    told.set_identity(fleet::IdentityOf(each.record()));
+    told.set_age_ms(each.age_ms());
+  }
+  for (std::size_t i = 0; i < records.size(); ++i) {
     if (i % internal::kRecordsPerDatagram == 0) {
-      auto& summary = *out.emplace_back().mutable_summary();
-      summary.set_relay(own.name());
-      if (out.size() == 1) {
-        *summary.mutable_suspects() = news.suspects();
-      }
+      out.emplace_back().mutable_summary()->set_relay(state_.machine.name);
     }
-    *out.back().mutable_summary()->add_members() = std::move(all[i]);
+    *out.back().mutable_summary()->add_members() = records[i];
   }
   return out;
 }
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -39,12 +39,18 @@
   void TakeDigest(wire::digest received, const std::string& sender);
   void TakeSuspect(const wire::suspect& told);
   void AddPeer(const std::string& address);
-  [[nodiscard]] wire::digest MakeDigest();
+  [[nodiscard]] wire::digest MakeDigest(bool with_work);
   void Send(const wire::datagram& content, const std::string& address);
   void SendDigests(bool is_full);
   void SendSummaries(bool is_full);
-  [[nodiscard]] std::vector<wire::datagram> MakeRecords(const wire::digest& own,
-                                                        mono_time now);
+  void SendRecords(const std::vector<const fleet::member*>& followers,
+                   const wire::digest& own);
+  [[nodiscard]] std::vector<wire::relayed_member> MakeRecords(
+      const wire::digest& own,
+      mono_time now) const;
+  [[nodiscard]] std::vector<wire::datagram> MakeRecordDatagrams(
+      const std::vector<wire::relayed_member>& records,
+      const std::vector<wire::relayed_member>& heard) const;
   [[nodiscard]] bool IsKnown(const std::string& address) const;
   [[nodiscard]] bool IsKnownLive(const std::string& address,
                                  mono_time now) const;
@@ -55,6 +61,10 @@
   /** Addresses of other entries, with the time at which each was heard of. */
   std::map<std::string, mono_time> peers_;
   std::uint64_t sequence_{};
+  std::uint64_t ticks_{};
+  /** Rounds of records sent, and the record of each entry passed on last. */
+  std::uint64_t round_{};
+  std::map<std::string, wire::digest> passed_on_;
 };
 
 }  // namespace mimosadeck::edge
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -78,56 +78,31 @@
   }
 }
 
-namespace internal {
-namespace {
-
-/** @brief Work told by others, by the hash of upstream and service. */
-struct told_work {
-  std::map<std::uint64_t, placement::load> loads;
-  std::map<std::uint64_t, placement::demand> demands;
-
-  template <typename Message>
-  void Add(const Message& from) {
-    for (const auto& told : from.loads()) {
-      auto& sum = loads[told.upstream()];
-      sum.running += told.running();
-      sum.unread_tokens += told.unread_tokens();
-      sum.held_tokens += told.held_tokens();
-    }
-    for (const auto& told : from.demands()) {
-      auto& sum = demands[told.service()];
-      sum.short_work += told.short_work();
-      sum.long_work += told.long_work();
-    }
-  }
-};
-
-}  // namespace
-}  // namespace internal
-
 void RefreshOthersLoad(edge_state& state) {
   const auto now = SuspendAwareNow();
   const auto live_for = fleet::LiveFor(state.members, state.fleet_options);
   const auto& summary = state.members.work;
-  internal::told_work work;
+  fleet::work_table work;
   if (summary && !fleet::IsDense(state.members, state.fleet_options) &&
       now - summary->heard_at <= live_for) {
-    work.Add(summary->told);
+    fleet::Add(work, summary->told.work());
   } else {
     for (const auto* each :
          fleet::Live(state.members, state.fleet_options, now)) {
-      work.Add(each->last);
+      fleet::Add(work, each->last.work());
     }
   }
   for (auto& [name, pool] : state.pools) {
     std::map<std::string, placement::load> loads;
     for (const auto& [incarnation, found] : pool.candidates) {
-      if (const auto told = work.loads.find(found.rank);
-          told != work.loads.end()) {
-        loads[incarnation] = told->second;
+      const auto told = work.upstreams.find(fleet::UpstreamKey(found.rank));
+      if (told != work.upstreams.end()) {
+        loads[incarnation] = {told->second.running, told->second.unread_tokens,
+                              told->second.held_tokens};
       }
     }
-    placement::SetOthers(pool, loads, work.demands[Hash64(name)]);
+    const auto& demand = work.services[Hash64(name)];
+    placement::SetOthers(pool, loads, {demand.short_work, demand.long_work});
   }
 }
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -35,18 +35,64 @@
       std::max(last.registry_version(), told.registry_version()));
 }
 
+/** Takes note of the members that a relay hears. */
+void TakeHeard(members& state, const wire::summary& told, mono_time now) {
+  if (told.heard_size() == 0) {
+    return;
+  }
+  std::map<std::uint64_t, member*> by_identity;
+  for (auto& [name, found] : state.by_name) {
+    by_identity[IdentityOf(found.last)] = &found;
+  }
+  for (const auto& each : told.heard()) {
+    const auto found = by_identity.find(each.identity());
+    if (found != by_identity.end()) {
+      auto& heard_at = found->second->heard_at;
+      heard_at =
+          std::max(heard_at, now - std::chrono::milliseconds(each.age_ms()));
+    }
+  }
+}
+
+/** Work and billing counts are told in some digests only. */
+void KeepUntold(wire::digest& received, wire::digest& before) {
+  if (received.incarnation() != before.incarnation()) {
+    return;
+  }
+  if (received.windows_size() == 0) {
+    received.mutable_windows()->Swap(before.mutable_windows());
+  }
+  if (!received.has_work() && before.has_work()) {
+    received.mutable_work()->Swap(before.mutable_work());
+  }
+}
+
 bool TakesCallers(const member& of) {
   return of.last.ready() && !of.last.leaving();
 }
 
+/** The time until which most of the members were heard. */
+mono_time ContactUntil(const std::vector<const member*>& of) {
+  std::vector<mono_time> heard;
+  heard.reserve(of.size());
+  for (const auto* each : of) {
+    heard.push_back(each->heard_at);
+  }
+  const auto middle =
+      heard.begin() + static_cast<std::ptrdiff_t>(heard.size() / 2);
+  std::nth_element(heard.begin(), middle, heard.end());
+  return *middle;
+}
+
+/** Members for callers: those that are heard, or, where most are silent, those
+ * that were heard when contact was lost. */
 std::vector<const member*> Listable(const members& state,
                                     const options& settings,
                                     mono_time now) {
   std::vector<const member*> live;
   std::vector<const member*> remembered;
   for (const auto& [name, found] : state.by_name) {
-    if (!TakesCallers(found) ||
-        now - found.heard_at > settings.remembered_for) {
+    if (!TakesCallers(found) || now - found.heard_at > settings.listed_for) {
       continue;
     }
     remembered.push_back(&found);
@@ -54,7 +100,14 @@
       live.push_back(&found);
     }
   }
-  return live.size() * 2 < remembered.size() ? remembered : live;
+  if (live.size() * 2 >= remembered.size()) {
+    return live;
+  }
+  const auto contact_until = ContactUntil(remembered);
+  std::erase_if(remembered, [&](const auto* each) {
+    return contact_until - each->heard_at > LiveFor(state, settings);
+  });
+  return remembered;
 }
 
 }  // namespace
@@ -69,11 +122,7 @@
   if (!slot.peer_address.empty() && internal::IsOlder(received, slot.last)) {
     return false;
   }
-  // Counts of billing windows are sent in some digests only.
-  if (received.windows_size() == 0 &&
-      received.incarnation() == slot.last.incarnation()) {
-    received.mutable_windows()->Swap(slot.last.mutable_windows());
-  }
+  internal::KeepUntold(received, slot.last);
   const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(
       wall.time_since_epoch());
   slot.clock_ahead = std::chrono::milliseconds(received.wall_ms()) - own;
@@ -99,19 +148,19 @@
     }
     auto& slot = state.by_name[told.record().name()];
     const std::chrono::milliseconds age(told.age_ms());
-    const auto heard_at = now - age;
+    slot.heard_at = std::max(slot.heard_at, now - age);
     if (!slot.peer_address.empty() &&
-        (heard_at <= slot.heard_at ||
-         internal::IsOlder(told.record(), slot.last))) {
+        internal::IsOlder(told.record(), slot.last)) {
       continue;
     }
     slot.clock_ahead =
         std::chrono::milliseconds(told.record().wall_ms()) + age - own;
+    internal::KeepUntold(*told.mutable_record(), slot.last);
     slot.last = std::move(*told.mutable_record());
     slot.peer_address = told.peer_address();
-    slot.heard_at = heard_at;
   }
-  if (received.members_size() > 0) {
+  internal::TakeHeard(state, received, now);
+  if (received.members_size() > 0 || received.heard_size() > 0) {
     return;
   }
   internal::TakeVersions(state, received);
@@ -206,37 +255,16 @@
                     const options& settings,
                     const wire::digest& own,
                     mono_time now) {
-  std::map<std::uint64_t, wire::upstream_load> loads;
-  std::map<std::uint64_t, wire::service_demand> demands;
-  const auto add = [&](const wire::digest& from) {
-    for (const auto& told : from.loads()) {
-      auto& sum = loads[told.upstream()];
-      sum.set_running(sum.running() + told.running());
-      sum.set_unread_tokens(sum.unread_tokens() + told.unread_tokens());
-      sum.set_held_tokens(sum.held_tokens() + told.held_tokens());
-    }
-    for (const auto& told : from.demands()) {
-      auto& sum = demands[told.service()];
-      sum.set_short_work(sum.short_work() + told.short_work());
-      sum.set_long_work(sum.long_work() + told.long_work());
-    }
-  };
-  add(own);
+  work_table sum;
+  Add(sum, own.work());
   for (const auto* each : Live(state, settings, now)) {
-    add(each->last);
+    Add(sum, each->last.work());
   }
   wire::summary out;
   out.set_relay(own.name());
   out.set_manifest_version(own.manifest_version());
   out.set_registry_version(own.registry_version());
-  for (auto& [upstream, sum] : loads) {
-    sum.set_upstream(upstream);
-    *out.add_loads() = sum;
-  }
-  for (auto& [service, sum] : demands) {
-    sum.set_service(service);
-    *out.add_demands() = sum;
-  }
+  *out.mutable_work() = Encode(sum);
   return out;
 }
 
@@ -246,6 +274,27 @@
   });
 }
 
+std::uint64_t IdentityOf(const wire::digest& of) {
+  return Hash64(of.name() + '/' + std::to_string(of.incarnation()));
+}
+
+bool IsRecordDue(const wire::digest* before,
+                 const wire::digest& present,
+                 std::uint64_t round) {
+  /** Rounds in which every record has its turn. */
+  constexpr std::uint64_t kTurns = 8;
+  if (!before || (Hash64(present.name()) + round) % kTurns == 0) {
+    return true;
+  }
+  return before->incarnation() != present.incarnation() ||
+         before->ready() != present.ready() ||
+         before->leaving() != present.leaving() ||
+         before->fencing() != present.fencing() ||
+         before->store_followed() != present.store_followed() ||
+         before->caller_address() != present.caller_address() ||
+         before->manifest_version() != present.manifest_version();
+}
+
 bool IsDense(const members& state, const options& settings) {
   return state.by_name.size() + 1 <= settings.dense_fleet;
 }
@@ -265,28 +314,10 @@
 }
 
 void Subtract(wire::summary& sum, const wire::digest& of) {
-  const auto less = [](std::uint32_t from, std::uint32_t amount) {
-    return from > amount ? from - amount : 0;
-  };
-  for (const auto& told : of.loads()) {
-    for (auto& each : *sum.mutable_loads()) {
-      if (each.upstream() == told.upstream()) {
-        each.set_running(less(each.running(), told.running()));
-        each.set_unread_tokens(
-            less(each.unread_tokens(), told.unread_tokens()));
-        each.set_held_tokens(less(each.held_tokens(), told.held_tokens()));
-      }
-    }
-  }
-  for (const auto& told : of.demands()) {
-    for (auto& each : *sum.mutable_demands()) {
-      if (each.service() == told.service()) {
-        each.set_short_work(
-            std::max(0.0F, each.short_work() - told.short_work()));
-        each.set_long_work(std::max(0.0F, each.long_work() - told.long_work()));
-      }
-    }
-  }
+  work_table left;
+  Add(left, sum.work());
+  Subtract(left, of.work());
+  *sum.mutable_work() = Encode(left);
 }
 
 bool IsLive(const members& state,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "fleet/fwd.h"
+#include "fleet/work_table.h"
 #include "wire/digest.pb.h"
 
 namespace mimosadeck::fleet {
@@ -33,8 +34,12 @@
   int missed_digests{3};
   /** Added to that: a digest may wait behind other traffic. */
   std::chrono::milliseconds live_slack{350};
-  /** A silent member stays an answer of the directory while most are silent,
-   * since then this entry itself may be cut off. */
+  /** While most members are silent, this entry itself may be cut off: those
+   * that were heard up to then stay answers of the directory for so long, which
+   * is the agreed time for which callers keep an answer. */
+  std::chrono::milliseconds listed_for{5000};
+  /** Members heard within this time count when an entry judges whether it is
+   * cut off from most. */
   std::chrono::milliseconds remembered_for{15000};
   /** A silent member's address is no longer sent digests. */
   std::chrono::milliseconds forgotten_after{120000};
@@ -86,6 +91,22 @@
                wall_time wall,
                mono_time now);
 
+/** @brief Returns a number that tells an entry's incarnations apart. */
+[[nodiscard]] std::uint64_t IdentityOf(const wire::digest& of);
+
+/**
+ * @brief Tells whether a relay passes a member's record on in this round.
+ *
+ * Records that changed since `before` are passed on at once, others in turn; of
+ * the rest only that they are heard is told.
+ *
+ * @param before The record that was passed on last; null if none was.
+ * @param round Counts the relay's rounds.
+ */
+[[nodiscard]] bool IsRecordDue(const wire::digest* before,
+                               const wire::digest& present,
+                               std::uint64_t round);
+
 /** @brief Tells whether members tell each other everything. */
 [[nodiscard]] bool IsDense(const members& state, const options& settings);
 
--- a/src/fleet/fwd.h
+++ b/src/fleet/fwd.h
@@ -6,6 +6,7 @@
 struct member;
 struct members;
 struct options;
+struct work_table;
 
 }  // namespace mimosadeck::fleet
 
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE fleet
 #include <boost/test/included/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
+#include "base/base.h"
 #include "fleet/fleet.h"
 
 namespace {
@@ -112,6 +114,31 @@
   BOOST_TEST(Addresses("a").size() == 5);
 }
 
+BOOST_AUTO_TEST_CASE(member_that_went_before_contact_was_lost_stays_out) {
+  for (const auto* name : {"b", "c", "d", "e"}) {
+    Hear(name, "a");
+  }
+  const auto gone_at = now;
+  now += 2s;
+  for (const auto* name : {"c", "d", "e"}) {
+    Hear(name, "a");
+  }
+  now += fleet::LiveFor(state, settings) + 500ms;
+  BOOST_REQUIRE(now - gone_at < settings.listed_for);
+  BOOST_TEST(Addresses("a") == (strings{"self:1", "c:1", "d:1", "e:1"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(
+    silent_members_are_listed_no_longer_than_callers_keep_them) {
+  for (const auto* name : {"b", "c", "d", "e"}) {
+    Hear(name, "a");
+  }
+  now += settings.listed_for + 1ms;
+  BOOST_TEST(Addresses("a") == strings{"self:1"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(entry_that_is_not_ready_does_not_list_itself) {
   self.ready = false;
   Hear("b", "a");
@@ -154,23 +181,63 @@
 }
 
 BOOST_AUTO_TEST_CASE(relay_adds_up_the_work_of_all) {
+  fleet::work_table two;
+  two.upstreams[7] = {2, 128, 640};
   for (int i = 1; i < 30; ++i) {
-    Hear("m" + std::to_string(i), "a");
-    auto& told = *state.by_name["m" + std::to_string(i)].last.add_loads();
-    told.set_upstream(7);
-    told.set_running(2);
+    const auto name = "m" + std::to_string(i);
+    Hear(name, "a");
+    *state.by_name[name].last.mutable_work() = fleet::Encode(two);
   }
+  fleet::work_table one;
+  one.upstreams[7] = {1, 64, 64};
   wire::digest own;
   own.set_name("self");
-  auto& told = *own.add_loads();
-  told.set_upstream(7);
-  told.set_running(1);
+  *own.mutable_work() = fleet::Encode(one);
   const auto sum = fleet::AddUp(state, settings, own, now);
-  BOOST_REQUIRE(sum.loads_size() == 1);
-  BOOST_TEST(sum.loads(0).running() == 59);
+  fleet::work_table all;
+  fleet::Add(all, sum.work());
+  BOOST_TEST(all.upstreams[7].running == 59);
+  BOOST_TEST(all.upstreams[7].unread_tokens == 29 * 128 + 64);
   auto for_one = sum;
   fleet::Subtract(for_one, state.by_name["m1"].last);
-  BOOST_TEST(for_one.loads(0).running() == 57);
+  fleet::work_table others;
+  fleet::Add(others, for_one.work());
+  BOOST_TEST(others.upstreams[7].running == 57);
+  BOOST_TEST(others.upstreams[7].held_tokens == 28 * 640 + 64);
+}
+
+BOOST_AUTO_TEST_CASE(digest_without_work_leaves_the_work_told_before) {
+  Hear("b", "a");
+  fleet::work_table some;
+  some.upstreams[7] = {2, 128, 640};
+  *state.by_name["b"].last.mutable_work() = fleet::Encode(some);
+  Hear("b", "a");
+  BOOST_TEST(state.by_name["b"].last.work().upstream_size() == 1);
+  wire::digest idle;
+  idle.set_name("b");
+  idle.set_incarnation(1);
+  idle.set_sequence(1000);
+  *idle.mutable_work() = fleet::Encode({});
+  fleet::OnDigest(state, idle, "b:2", wall, now);
+  BOOST_TEST(state.by_name["b"].last.work().upstream_size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(work_of_a_hundred_upstreams_fits_a_kilobyte) {
+  fleet::work_table table;
+  for (std::uint32_t i = 0; i < 112; ++i) {
+    table.upstreams[i * 7919] = {3, 12000, 40000};
+  }
+  BOOST_TEST(fleet::Encode(table).ByteSizeLong() < 1024);
+}
+
+BOOST_AUTO_TEST_CASE(lists_of_unequal_length_are_cut) {
+  wire::work bad;
+  bad.add_upstream(1);
+  bad.add_upstream(2);
+  bad.add_running(3);
+  fleet::work_table table;
+  fleet::Add(table, bad);
+  BOOST_TEST(table.upstreams.empty());
 }
 
 BOOST_AUTO_TEST_CASE(only_those_that_ask_near_the_relay_follow_it) {
@@ -402,6 +469,50 @@
   BOOST_TEST(state.by_name[NameOf(1)].last.fencing() == 5);
 }
 
+BOOST_AUTO_TEST_CASE(change_is_taken_though_another_relay_heard_later) {
+  wire::summary heard;
+  heard.set_relay(NameOf(2));
+  auto& newer = *heard.add_heard();
+  newer.set_identity(fleet::IdentityOf(state.by_name[NameOf(5)].last));
+  fleet::OnSummary(state, heard, "self", wall, now + 500ms);
+  wire::summary records;
+  records.set_relay(NameOf(1));
+  auto& told = *records.add_members();
+  *told.mutable_record() = state.by_name[NameOf(5)].last;
+  told.mutable_record()->set_leaving(true);
+  told.mutable_record()->set_sequence(1000);
+  told.set_peer_address("entry:2");
+  told.set_age_ms(400);
+  fleet::OnSummary(state, records, "self", wall, now + 500ms);
+  BOOST_TEST(state.by_name[NameOf(5)].last.leaving());
+  BOOST_TEST((state.by_name[NameOf(5)].heard_at == now + 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(another_incarnation_that_is_heard_keeps_no_member_live) {
+  auto restarted = state.by_name[NameOf(5)].last;
+  restarted.set_incarnation(77);
+  wire::summary heard;
+  heard.set_relay(NameOf(2));
+  heard.add_heard()->set_identity(fleet::IdentityOf(restarted));
+  fleet::OnSummary(state, heard, "self", wall, now + 500ms);
+  BOOST_TEST((state.by_name[NameOf(5)].heard_at == now));
+}
+
+BOOST_AUTO_TEST_CASE(record_is_due_when_it_changed_and_in_its_turn) {
+  const auto before = state.by_name[NameOf(5)].last;
+  int due = 0;
+  for (std::uint64_t round = 0; round < 16; ++round) {
+    due += fleet::IsRecordDue(&before, before, round) ? 1 : 0;
+  }
+  BOOST_TEST(due == 2);
+  auto changed = before;
+  changed.set_leaving(true);
+  for (std::uint64_t round = 0; round < 16; ++round) {
+    BOOST_TEST(fleet::IsRecordDue(&before, changed, round));
+    BOOST_TEST(fleet::IsRecordDue(nullptr, before, round));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(member_that_did_not_answer_is_followed_by_another) {
   for (auto& [name, found] : state.by_name) {
     found.last.set_manifest_version(4);
@@ -427,4 +538,188 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/**
+ * Many entries that tell each other of themselves through relays, as the daemon
+ * does, over a network that loses nothing. At the start each has heard only
+ * some of the others.
+ */
+struct many_entries {
+  static constexpr int kCount = 78;
+  static constexpr std::uint64_t kTicksPerTrial = 7;
+
+  fleet::options settings;
+  mono_time now{100s};
+  wall_time wall{std::chrono::hours(1000)};
+  std::vector<fleet::members> views{kCount};
+  std::uint64_t tick{};
+  int leaving{-1};
+  std::vector<std::uint64_t> rounds = std::vector<std::uint64_t>(kCount);
+  std::vector<std::map<std::string, wire::digest>> passed_on{kCount};
+  std::vector<std::size_t> bytes_sent = std::vector<std::size_t>(kCount);
+
+  many_entries() {
+    for (int i = 0; i < kCount; ++i) {
+      for (int j = 0; j < kCount; ++j) {
+        if (i != j && (i + j) % 3 != 0) {
+          fleet::OnDigest(views[i], DigestOf(j), AddressOf(j), wall, now);
+        }
+      }
+    }
+  }
+
+  static std::string NameOf(int number) { return "m" + std::to_string(number); }
+  static std::string AddressOf(int number) {
+    return "p" + std::to_string(number);
+  }
+  static std::string CentreOf(int number) {
+    return std::string(1, static_cast<char>('a' + number % 3));
+  }
+
+  wire::digest DigestOf(int number) const {
+    wire::digest out;
+    out.set_name(NameOf(number));
+    out.set_incarnation(1);
+    out.set_sequence(tick + 1);
+    out.set_data_centre(CentreOf(number));
+    out.set_ready(true);
+    out.set_leaving(number == leaving);
+    out.set_wants_summary(true);
+    return out;
+  }
+
+  void SendDigests(int from) {
+    const auto digest = DigestOf(from);
+    std::set<std::string> to;
+    for (const auto* each : fleet::Relays(views[from], settings, now)) {
+      to.insert(each->last.name());
+    }
+    const bool tries_silent =
+        (tick + static_cast<std::uint64_t>(from)) % kTicksPerTrial == 0;
+    for (int j = 0; j < kCount; ++j) {
+      const auto found = views[from].by_name.find(NameOf(j));
+      const bool is_silent =
+          found == views[from].by_name.end() ||
+          !fleet::IsLive(views[from], found->second, settings, now);
+      if (j != from &&
+          (to.contains(NameOf(j)) || (tries_silent && is_silent))) {
+        fleet::OnDigest(views[j], digest, AddressOf(from), wall, now);
+      }
+    }
+  }
+
+  void SendRecords(int from) {
+    wire::summary records;
+    records.set_relay(NameOf(from));
+    ++rounds[from];
+    const auto add = [&](const wire::digest& record, const std::string& address,
+                         std::chrono::milliseconds age) {
+      const auto age_ms = static_cast<std::uint32_t>(age.count());
+      auto& before = passed_on[from][record.name()];
+      if (!fleet::IsRecordDue(before.name().empty() ? nullptr : &before, record,
+                              rounds[from])) {
+        auto& told = *records.add_heard();
+        told.set_identity(fleet::IdentityOf(record));
+        told.set_age_ms(age_ms);
+        return;
+      }
+      before = record;
+      auto& told = *records.add_members();
+      *told.mutable_record() = record;
+      told.set_peer_address(address);
+      told.set_age_ms(age_ms);
+    };
+    add(DigestOf(from), AddressOf(from), 0ms);
+    for (const auto& [name, found] : views[from].by_name) {
+      if (fleet::IsLive(views[from], found, settings, now)) {
+        add(found.last, found.peer_address,
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - found.heard_at));
+      }
+    }
+    for (const auto* each :
+         fleet::Followers(views[from], settings, CentreOf(from), now)) {
+      const auto number = std::stoi(each->last.name().substr(1));
+      bytes_sent[from] += records.ByteSizeLong();
+      fleet::OnSummary(views[number], records, NameOf(number), wall, now);
+    }
+  }
+
+  void Pass(std::chrono::milliseconds time) {
+    const auto interval = fleet::DigestInterval(views[0], settings);
+    const auto ticks_per_record =
+        static_cast<std::uint64_t>(settings.record_interval / interval) + 1;
+    for (const auto end = now + time; now < end; now += interval) {
+      ++tick;
+      for (int i = 0; i < kCount; ++i) {
+        SendDigests(i);
+        if ((tick + static_cast<std::uint64_t>(i)) % ticks_per_record == 0) {
+          SendRecords(i);
+        }
+      }
+    }
+  }
+
+  std::vector<std::string> TakersSeenBy(int number) const {
+    std::vector<std::string> out;
+    for (const auto* each :
+         fleet::CountTakers(views[number], settings, 2, now)) {
+      out.push_back(each->last.name());
+    }
+    return out;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(views_through_relays, many_entries)
+
+BOOST_AUTO_TEST_CASE(entries_come_to_hear_all_others_for_good) {
+  Pass(6s);
+  for (int round = 0; round < 30; ++round) {
+    Pass(400ms);
+    std::size_t fewest = kCount;
+    for (const auto& view : views) {
+      fewest = std::min(fewest, fleet::Live(view, settings, now).size());
+    }
+    BOOST_TEST(fewest == kCount - 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(records_take_little_of_a_narrow_link) {
+  Pass(10s);
+  bytes_sent.assign(kCount, 0);
+  Pass(10s);
+  // A tenth of 10 Mbit/s over ten seconds.
+  BOOST_TEST(*std::max_element(bytes_sent.begin(), bytes_sent.end()) <
+             1250000U);
+}
+
+BOOST_AUTO_TEST_CASE(member_that_leaves_is_known_to_all_within_two_seconds) {
+  Pass(8s);
+  leaving = 40;
+  Pass(2s);
+  for (int i = 0; i < kCount; ++i) {
+    BOOST_TEST(
+        (i == leaving || views[i].by_name.at(NameOf(leaving)).last.leaving()));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(entries_send_billing_counts_to_the_same_contenders) {
+  Pass(6s);
+  std::vector<std::string> names;
+  for (int i = 0; i < kCount; ++i) {
+    names.push_back(NameOf(i));
+  }
+  std::sort(names.begin(), names.end(), [](const auto& a, const auto& b) {
+    return mimosadeck::Hash64(a) < mimosadeck::Hash64(b);
+  });
+  for (int i = 0; i < kCount; ++i) {
+    const auto takers = TakersSeenBy(i);
+    for (const auto& wanted : {names[0], names[1]}) {
+      BOOST_TEST((NameOf(i) == wanted || std::find(takers.begin(), takers.end(),
+                                                   wanted) != takers.end()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
