Compare eight upstreams drawn for each request in large fleets

Each request now compares the home of its shared parts and eight upstreams drawn by its id.

Small fleets compare all, as before.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -32,8 +32,8 @@
 constexpr int kMostNewFollowers = 3;
 /** A follower that knows so many members less than its relay is new. */
 constexpr std::size_t kFewMembers = 3;
-/** Digests of a large fleet of which one tells the sender's work. */
-constexpr std::uint64_t kDigestsPerWork = 2;
+/** Upstreams that a request compares in a large fleet, where news are late. */
+constexpr std::size_t kComparedInLargeFleet = 8;
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
 constexpr std::chrono::milliseconds kPeerMemory{120000};
@@ -208,7 +208,7 @@
   }
 }
 
-wire::digest gossip::MakeDigest(bool with_work) {
+wire::digest gossip::MakeDigest() {
   wire::digest out;
   const auto now = SuspendAwareNow();
   out.set_name(state_.machine.name);
@@ -228,9 +228,7 @@
       static_cast<std::uint32_t>(state_.members.by_name.size()));
   out.set_store_followed(state_.store_followed);
   out.set_registry_version(state_.upstreams.version);
-  if (with_work) {
-    internal::FillWork(state_, out);
-  }
+  internal::FillWork(state_, out);
   return out;
 }
 
@@ -260,11 +258,8 @@
       takers.insert(each->peer_address);
     }
   }
-  // In a large fleet the relays' links are narrow beside so many digests.
-  const bool with_work = fleet::IsDense(state_.members, options) ||
-                         ++ticks_ % internal::kDigestsPerWork == 0;
   wire::datagram plain;
-  *plain.mutable_digest() = MakeDigest(with_work);
+  *plain.mutable_digest() = MakeDigest();
   plain.mutable_digest()->set_wants_summary(
       !fleet::IsDense(state_.members, options));
   if (is_full) {
@@ -306,7 +301,7 @@
   // What does not fit the link is lost, and must not always hit the same.
   const auto first = static_cast<std::ptrdiff_t>(sequence_ % followers.size());
   std::rotate(followers.begin(), followers.begin() + first, followers.end());
-  const auto own = MakeDigest(true);
+  const auto own = MakeDigest();
   const auto sum = fleet::AddUp(state_.members, state_.fleet_options, own, now);
   for (const auto* each : followers) {
     wire::datagram work;
@@ -431,6 +426,10 @@
       placement::Tick(pool, now);
     }
     RefreshOthersLoad(state_);
+    state_.placement_options.most_compared =
+        fleet::IsDense(state_.members, state_.fleet_options)
+            ? 0
+            : internal::kComparedInLargeFleet;
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -39,7 +39,7 @@
   void TakeDigest(wire::digest received, const std::string& sender);
   void TakeSuspect(const wire::suspect& told);
   void AddPeer(const std::string& address);
-  [[nodiscard]] wire::digest MakeDigest(bool with_work);
+  [[nodiscard]] wire::digest MakeDigest();
   void Send(const wire::datagram& content, const std::string& address);
   void SendDigests(bool is_full);
   void SendSummaries(bool is_full);
@@ -61,7 +61,6 @@
   /** Addresses of other entries, with the time at which each was heard of. */
   std::map<std::string, mono_time> peers_;
   std::uint64_t sequence_{};
-  std::uint64_t ticks_{};
   /** Rounds of records sent, and the record of each entry passed on last. */
   std::uint64_t round_{};
   std::map<std::string, wire::digest> passed_on_;
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
+#include <tuple>
 
 #include "base/base.h"
 
@@ -154,6 +155,15 @@
   return cost;
 }
 
+/** Tells whether a request compares this upstream. */
+bool IsCompared(const candidate& at,
+                const options& settings,
+                const job& wanted,
+                std::size_t count) {
+  return settings.most_compared == 0 || settings.most_compared >= count ||
+         Mix(at.rank ^ wanted.draw) % count < settings.most_compared;
+}
+
 struct estimate {
   double cost{};
   double wait{};
@@ -255,6 +265,7 @@
   const auto* home = internal::HomeOf(group, wanted);
   const candidate* best = nullptr;
   internal::estimate lowest;
+  bool best_compared = false;
   bool best_ejected = false;
   bool beside_long = false;
   for (std::size_t i = 0; i < all.size(); ++i) {
@@ -274,10 +285,12 @@
                     static_cast<double>(wanted.goal.count());
     }
     const bool ejected = outlier::IsEjected(at.health, now);
-    const bool better = !best || (best_ejected && !ejected) ||
-                        (best_ejected == ejected && found.cost < lowest.cost);
-    if (better) {
+    const bool compared =
+        &at == home || internal::IsCompared(at, settings, wanted, group.size());
+    const auto rank = std::tuple(ejected, !compared, found.cost);
+    if (!best || rank < std::tuple(best_ejected, !best_compared, lowest.cost)) {
       best = &at;
+      best_compared = compared;
       beside_long = i >= border;
       lowest = found;
       best_ejected = ejected;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -36,6 +36,8 @@
   std::chrono::milliseconds goal{};
   /** Longest pause in the answer that is on time; zero if any is. */
   std::chrono::milliseconds pause_goal{};
+  /** Number by which requests differ, such as a hash of their id. */
+  std::uint64_t draw{};
 };
 
 /** @brief Work on one upstream. */
@@ -73,6 +75,10 @@
   std::chrono::microseconds crowding{800};
   /** How long an upstream is expected to keep a part that it read. */
   std::chrono::milliseconds cache_time{20000};
+  /** Upstreams compared for each request, drawn anew each time, besides the
+   * home of its shared parts; zero for all. Where many entries act on the same
+   * late news, comparing all sends them to the same upstream at once. */
+  std::size_t most_compared{0};
   /** Part of the memory beyond which running requests displace one another. */
   double memory_part{0.85};
   outlier::options health;
--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE placement
 #include <boost/test/included/unit_test.hpp>
 
+#include "base/base.h"
 #include "placement/placement.h"
 
 namespace {
@@ -303,4 +304,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(many_entries_with_late_news, twelve_engines)
+
+BOOST_AUTO_TEST_CASE(requests_compare_some_upstreams_and_spread) {
+  SetCount(100);
+  settings.most_compared = 8;
+  std::map<std::string, int> chosen;
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    auto chat = Chat(i);
+    chat.parts.clear();
+    chat.draw = mimosadeck::Hash64(std::to_string(i));
+    const auto found = placement::Choose(pool, settings, chat, "a", {}, now);
+    BOOST_REQUIRE(found);
+    ++chosen[found->incarnation];
+  }
+  BOOST_TEST(chosen.size() > 50);
+  for (const auto& [name, count] : chosen) {
+    BOOST_TEST(count < 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(request_whose_draw_was_tried_takes_another) {
+  SetCount(20);
+  settings.most_compared = 1;
+  std::set<std::string> tried;
+  auto chat = Chat(1);
+  for (int i = 0; i < 20; ++i) {
+    const auto found = placement::Choose(pool, settings, chat, "a", tried, now);
+    BOOST_REQUIRE(found);
+    BOOST_TEST(tried.insert(found->incarnation).second);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
