--- a/src/logbook/logbook.cc
+++ b/src/logbook/logbook.cc
@@ -117,17 +117,25 @@
     return out;
   }
   std::vector<line> before;
+  std::set<std::string> told_by_others;
   for (std::size_t i = 0; i < lines.size(); ++i) {
     const auto& each = lines[i];
     if (each.time > out.own.back().time || !internal::IsBelief(each)) {
       continue;
     }
     const std::string upstream(each.Field("upstream"));
+    const bool is_own = processes.contains(each.process);
     const bool concerns =
         upstream.empty()
-            ? processes.contains(each.process)
+            ? is_own
             : upstreams.contains(upstream.substr(0, upstream.find('/')));
-    if (concerns) {
+    // Others log the same change; the first of them shows when it was known.
+    const bool is_new =
+        is_own || told_by_others
+                      .insert(each.event + ' ' + upstream + ' ' +
+                              std::string(each.Field("state")))
+                      .second;
+    if (concerns && is_new) {
       (i < first ? before : out.context).push_back(each);
     }
   }
--- a/src/logbook/logbook.h
+++ b/src/logbook/logbook.h
@@ -37,8 +37,9 @@
 struct life {
   /** Lines of the request itself, in order. */
   std::vector<line> own;
-  /** What its entry learned shortly before and while the request ran, and what
-   * any entry learned of the upstreams that it went to, in order. */
+  /** What its entry learned shortly before and while the request ran, and when
+   * the first other entry learned the same of the upstreams that it went to, in
+   * order. */
   std::vector<line> context;
 };
 
--- a/test/logbook/logbook_test.cc
+++ b/test/logbook/logbook_test.cc
@@ -62,6 +62,7 @@
   BOOST_REQUIRE(found.context.size() == 2);
   BOOST_TEST(found.context[0].Field("version") == "7");
   BOOST_TEST(found.context[1].Field("state") == "draining");
+  BOOST_TEST(found.context[1].process == "entry-2");
 }
 
 BOOST_AUTO_TEST_CASE(unknown_request_gives_nothing) {
@@ -87,7 +88,7 @@
   for (const auto& each : lines) {
     Count(counts, each);
   }
-  BOOST_TEST(counts.lines == 8);
+  BOOST_TEST(counts.lines == 9);
   BOOST_TEST(counts.lines_dropped == 12);
   BOOST_TEST((counts.outcomes[{"chat", "served"}]) == 2);
   BOOST_TEST((counts.failed_attempts[{"broke_off", "reset"}]) == 1);
