--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -91,27 +91,39 @@
   }
 }
 
+void LogCopyFailed(std::string_view address,
+                   std::string_view path,
+                   std::string_view reason) {
+  telemetry::Log(telemetry::level::warning, "copy_failed",
+                 {{"address", address}, {"path", path}, {"reason", reason}});
+}
+
 asio::awaitable<std::optional<std::string>> Fetch(edge_state& state,
                                                   std::string address,
                                                   std::string path) {
   net::http_call call(state.upstream_connections, state.io.get_executor());
   net::http_request request;
-  request.target = std::move(path);
+  request.target = path;
   net::call_options options;
-  options.server = address;
-  options.address = std::move(address);
+  options.server = options.address = address;
   options.connect_timeout = kEntryCallTimeout;
   options.deadline = std::chrono::steady_clock::now() + kEntryCallTimeout;
   const auto failed = co_await call.Send(std::move(request), options);
+  if (failed) {
+    LogCopyFailed(address, path, failed->message);
+    co_return std::nullopt;
+  }
   constexpr int kOk = 200;
-  if (failed || call.Status() != kOk) {
+  if (call.Status() != kOk) {
+    LogCopyFailed(address, path, "status " + std::to_string(call.Status()));
     co_return std::nullopt;
   }
   auto body = co_await call.ReadBody(kMostAnswerBytes);
-  if (auto* text = std::get_if<std::string>(&body)) {
-    co_return std::move(*text);
+  if (const auto* broken = std::get_if<net::call_failure>(&body)) {
+    LogCopyFailed(address, path, broken->message);
+    co_return std::nullopt;
   }
-  co_return std::nullopt;
+  co_return std::get<std::string>(std::move(body));
 }
 
 /** @brief Returns how long the store may hold back an answer. */
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -160,10 +160,10 @@
     slot.peer_address = told.peer_address();
   }
   internal::TakeHeard(state, received, now);
-  if (received.members_size() > 0 || received.heard_size() > 0) {
+  internal::TakeVersions(state, received);
+  if (!received.has_work()) {
     return;
   }
-  internal::TakeVersions(state, received);
   received.clear_suspects();
   state.work = fleet_work{std::move(received), now};
 }
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -469,6 +469,20 @@
   BOOST_TEST(state.by_name[NameOf(1)].last.fencing() == 5);
 }
 
+BOOST_AUTO_TEST_CASE(summary_without_work_leaves_the_work_told_before) {
+  fleet::work_table some;
+  some.upstreams[7] = {2, 128, 640};
+  wire::summary work;
+  work.set_relay(NameOf(1));
+  *work.mutable_work() = fleet::Encode(some);
+  fleet::OnSummary(state, work, "self", wall, now);
+  wire::summary records;
+  records.set_relay(NameOf(1));
+  fleet::OnSummary(state, records, "self", wall, now);
+  BOOST_REQUIRE(state.work);
+  BOOST_TEST(state.work->told.work().upstream_size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(change_is_taken_though_another_relay_heard_later) {
   wire::summary heard;
   heard.set_relay(NameOf(2));
