Use the field's words in the soak, the sampling of upstreams and gossip

Renames and comments only: faults for harm, a random source for dice, stale loads for late news. fleet_test, placement_test and judge_test pass.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -32,7 +32,8 @@
 constexpr int kMostNewFollowers = 3;
 /** A follower that knows so many members less than its relay is new. */
 constexpr std::size_t kFewMembers = 3;
-/** Upstreams that a request compares in a large fleet, where news are late. */
+/** Upstreams that a request samples in a large fleet, where reported loads are
+ * stale. */
 constexpr std::size_t kComparedInLargeFleet = 8;
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
@@ -334,15 +335,15 @@
       before = each.record();
     }
   }
-  const auto news = MakeRecordDatagrams(due, others);
-  const auto whole = MakeRecordDatagrams(all, {});
+  const auto update = MakeRecordDatagrams(due, others);
+  const auto snapshot = MakeRecordDatagrams(all, {});
   auto left = internal::kMostNewFollowers;
   for (const auto* each : followers) {
     const bool is_new =
         each->last.members_known() + internal::kFewMembers < all.size();
     const bool gets_all = is_new && left > 0;
     left -= gets_all ? 1 : 0;
-    for (const auto& part : gets_all ? whole : news) {
+    for (const auto& part : gets_all ? snapshot : update) {
       Send(part, each->peer_address);
     }
   }
@@ -382,9 +383,9 @@
   std::vector<wire::datagram> out(1);
   auto& head = *out.front().mutable_summary();
   head.set_relay(state_.machine.name);
-  wire::digest news;
-  internal::FillSuspects(state_, news);
-  *head.mutable_suspects() = news.suspects();
+  wire::digest suspects;
+  internal::FillSuspects(state_, suspects);
+  *head.mutable_suspects() = suspects.suspects();
   for (const auto& each : heard) {
     auto& told = *head.add_heard();
     told.set_identity(fleet::IdentityOf(each.record()));
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -41,7 +41,7 @@
   constexpr std::array<std::string_view, 4> kPrefixes{"/safe/", "/unsafe/",
                                                       "/resume/", "/once/"};
   plan out;
-  const auto kind = world.chance.Below(kPrefixes.size());
+  const auto kind = world.random.Below(kPrefixes.size());
   out.sent.kind = static_cast<request_kind>(kind);
   out.sent.id = "r" + std::to_string(++world.last_request);
   out.sent.entry = to.name;
@@ -49,16 +49,16 @@
   out.sent.account = kLastingAccount;
   std::string key(kLastingKey);
   std::string prefix(kPrefixes[kind]);
-  if (world.chance.Chance(kForgedPart)) {
+  if (world.random.Chance(kForgedPart)) {
     key = "key-forged";
     out.sent.account.clear();
-  } else if (world.chance.Chance(kChangingPart)) {
+  } else if (world.random.Chance(kChangingPart)) {
     const auto newest = world.system.ManifestVersion();
-    const auto back = world.chance.Below(4);
+    const auto back = world.random.Below(4);
     out.sent.first_manifest =
         newest - std::min<std::uint64_t>(back, newest - 1);
     out.sent.last_manifest = out.sent.first_manifest + kManifestsHeld;
-    if (world.chance.Chance(0.5)) {
+    if (world.random.Chance(0.5)) {
       prefix = ChangingRoute(out.sent.first_manifest);
       out.sent.kind = request_kind::idempotent;
     } else {
@@ -128,7 +128,7 @@
 asio::awaitable<entry*> AskDirectory(caller_world& world) {
   auto& system = world.system;
   const auto& asked =
-      *system.entries[world.chance.Below(system.entries.size())];
+      *system.entries[world.random.Below(system.entries.size())];
   net::connection_cache cache(0);
   net::http_call call(cache, co_await asio::this_coro::executor);
   net::http_request message;
@@ -151,7 +151,7 @@
   if (addresses.empty()) {
     co_return nullptr;
   }
-  const auto& chosen = addresses[world.chance.Below(addresses.size())];
+  const auto& chosen = addresses[world.random.Below(addresses.size())];
   co_return system.EntryAt(json::value_to<std::string>(chosen));
 }
 
@@ -163,7 +163,7 @@
   net::connection_cache cache(1);
   entry* to = nullptr;
   while (!world.stopping) {
-    co_await Wait(world.chance.Between(std::chrono::milliseconds(5),
+    co_await Wait(world.random.Between(std::chrono::milliseconds(5),
                                        internal::kLongestPause));
     if (!to) {
       to = co_await internal::AskDirectory(world);
@@ -172,9 +172,9 @@
     auto plan = internal::MakePlan(world, *to);
     std::optional<mono_time> leaves_at;
     if (IsStream(plan.sent.kind) &&
-        world.chance.Chance(internal::kLeavingPart)) {
+        world.random.Chance(internal::kLeavingPart)) {
       leaves_at =
-          SuspendAwareNow() + world.chance.Between(std::chrono::milliseconds(1),
+          SuspendAwareNow() + world.random.Between(std::chrono::milliseconds(1),
                                                    internal::kLongestStay);
     }
     plan.sent.at = SuspendAwareNow();
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -11,7 +11,7 @@
 struct caller_world {
   deployment& system;
   judge& checks;
-  dice& chance;
+  random_source& random;
   std::uint64_t last_request{};
   std::size_t running{};
   bool stopping{};
--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -69,8 +69,8 @@
 deployment::deployment(asio::io_context& io,
                        const deployment_options& options,
                        judge& judge,
-                       dice& dice)
-    : store(io), io_(io), options_(options), judge_(judge), dice_(dice) {
+                       random_source& random)
+    : store(io), io_(io), options_(options), judge_(judge), random_(random) {
   std::filesystem::create_directories(options_.directory);
   WriteManifest();
   for (std::size_t i = 0; i < options_.upstreams; ++i) {
@@ -114,7 +114,7 @@
   made.server->data_centre = internal::ZoneOf(number);
   made.server->choose = [this, &made](const net::http_request& request) {
     made.server->work_time =
-        dice_.Between(std::chrono::milliseconds(0), internal::kLongestWork);
+        random_.Between(std::chrono::milliseconds(0), internal::kLongestWork);
     return AnswerOf(made, request);
   };
   made.server->on_run = [this, &made](const platform_test::upstream_run& run) {
@@ -137,19 +137,20 @@
                                      const net::http_request& request) {
   const bool is_stream = request.target.starts_with("/once/") ||
                          request.target.starts_with("/resume/");
-  const bool fails = at.failing && dice_.Chance(internal::kFailingPart);
+  const bool fails = at.failing && random_.Chance(internal::kFailingPart);
   if (fails) {
     constexpr std::array<scripted_answer, 4> kBad{
         scripted_answer::failure, scripted_answer::not_run,
         scripted_answer::busy, scripted_answer::broken};
     return is_stream ? scripted_answer::broken_stream
-                     : kBad[dice_.Below(kBad.size())];
+                     : kBad[random_.Below(kBad.size())];
   }
   if (!is_stream) {
     return scripted_answer::good;
   }
-  return dice_.Chance(internal::kSlowStreamPart) ? scripted_answer::slow_stream
-                                                 : scripted_answer::stream;
+  return random_.Chance(internal::kSlowStreamPart)
+             ? scripted_answer::slow_stream
+             : scripted_answer::stream;
 }
 
 void deployment::OnRun(const upstream& at,
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -21,9 +21,9 @@
 namespace mimosadeck::soak {
 
 /** @brief Chance from one seed. */
-class dice {
+class random_source {
  public:
-  explicit dice(std::uint64_t seed) : engine_(seed) {}
+  explicit random_source(std::uint64_t seed) : engine_(seed) {}
 
   [[nodiscard]] std::size_t Below(std::size_t bound) {
     return bound == 0 ? 0 : engine_() % bound;
@@ -96,7 +96,7 @@
   deployment(boost::asio::io_context& io,
              const deployment_options& options,
              judge& judge,
-             dice& dice);
+             random_source& random);
 
   /** @brief Writes a new manifest: the next version's route and key come, the
    * oldest ones go. */
@@ -131,7 +131,7 @@
   boost::asio::io_context& io_;
   deployment_options options_;
   judge& judge_;
-  dice& dice_;
+  random_source& random_;
   std::uint64_t version_{};
   std::size_t reports_taken_{};
 };
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -34,16 +34,16 @@
 /** An upstream that leaves serves on for so long, and then ends. */
 constexpr milliseconds kLeavingTime{4000};
 
-/** @brief Harm that lasts as long as this object. */
-class harm_guard {
+/** @brief Tells the judge of a fault for as long as this object lives. */
+class fault_guard {
  public:
-  harm_guard(judge& checks, std::string scope, bool planned)
+  fault_guard(judge& checks, std::string scope, bool planned)
       : checks_(checks), scope_(std::move(scope)), planned_(planned) {
-    checks_.OnHarmBegan(scope_, planned_, SuspendAwareNow());
+    checks_.OnFaultBegan(scope_, planned_, SuspendAwareNow());
   }
-  ~harm_guard() { checks_.OnHarmEnded(scope_, planned_, SuspendAwareNow()); }
-  harm_guard(const harm_guard&) = delete;
-  harm_guard& operator=(const harm_guard&) = delete;
+  ~fault_guard() { checks_.OnFaultEnded(scope_, planned_, SuspendAwareNow()); }
+  fault_guard(const fault_guard&) = delete;
+  fault_guard& operator=(const fault_guard&) = delete;
 
  private:
   judge& checks_;
@@ -58,11 +58,11 @@
   return kFaults[variant % kFaults.size()];
 }
 
-asio::awaitable<void> HarmLink(judge& checks,
-                               link_proxy& link,
-                               std::string scope,
-                               fault what) {
-  const harm_guard harm(checks, std::move(scope), false);
+asio::awaitable<void> ImpairLink(judge& checks,
+                                 link_proxy& link,
+                                 std::string scope,
+                                 fault what) {
+  const fault_guard guard(checks, std::move(scope), false);
   link.SetFault(LinkFaultOf(what.variant));
   co_await Wait(what.lasts);
   link.SetFault(link_fault::none);
@@ -76,7 +76,7 @@
     co_return;
   }
   of.busy = true;
-  const harm_guard harm(checks, of.name, false);
+  const fault_guard guard(checks, of.name, false);
   of.Signal(SIGKILL);
   co_await Wait(away);
   while (of.Runs()) {
@@ -100,7 +100,7 @@
     co_return;
   }
   of.busy = true;
-  const harm_guard harm(checks, of.name, true);
+  const fault_guard guard(checks, of.name, true);
   of.Signal(SIGTERM);
   while (of.Runs()) {
     co_await Wait(kPoll);
@@ -111,25 +111,25 @@
 }
 
 asio::awaitable<void> Pause(judge& checks, entry& of, milliseconds lasts) {
-  const harm_guard harm(checks, of.name, false);
+  const fault_guard guard(checks, of.name, false);
   of.Signal(SIGSTOP);
   co_await Wait(lasts);
   of.Signal(SIGCONT);
 }
 
 asio::awaitable<void> StepClock(judge& checks, entry& of, fault what) {
-  const harm_guard harm(checks, of.name, true);
+  const fault_guard guard(checks, of.name, true);
   std::ofstream(of.clock_file)
       << kClockSteps[what.variant % kClockSteps.size()];
   co_await Wait(what.lasts);
   std::ofstream(of.clock_file) << 0;
 }
 
-asio::awaitable<void> HarmStore(deployment& system,
-                                judge& checks,
-                                store_fault kind,
-                                milliseconds lasts) {
-  const harm_guard harm(checks, "everything", true);
+asio::awaitable<void> ImpairStore(deployment& system,
+                                  judge& checks,
+                                  store_fault kind,
+                                  milliseconds lasts) {
+  const fault_guard guard(checks, "everything", true);
   system.store.fault = kind;
   co_await Wait(lasts);
   system.store.fault = store_fault::none;
@@ -145,7 +145,7 @@
   }
   of.busy = true;
   const auto id = of.id;
-  const harm_guard harm(checks, id, false);
+  const fault_guard guard(checks, id, false);
   of.link->SetFault(link_fault::reset);
   co_await Wait(what.lasts);
   if (replaced) {
@@ -165,7 +165,7 @@
   system.store.Put("servers", id, of.server->Entry("draining"));
   checks.OnLeaving(id, SuspendAwareNow());
   co_await Wait(kLeavingTime);
-  const harm_guard harm(checks, id, false);
+  const fault_guard guard(checks, id, false);
   system.store.Drop("servers", id);
   of.link->SetFault(link_fault::reset);
   co_await Wait(kRestartTime);
@@ -191,12 +191,12 @@
       return "clock_stepped";
     case fault_kind::all_entries_killed:
       return "all_entries_killed";
-    case fault_kind::store_link_harmed:
-      return "store_link_harmed";
-    case fault_kind::caller_link_harmed:
-      return "caller_link_harmed";
-    case fault_kind::upstream_link_harmed:
-      return "upstream_link_harmed";
+    case fault_kind::store_link_fault:
+      return "store_link_fault";
+    case fault_kind::caller_link_fault:
+      return "caller_link_fault";
+    case fault_kind::upstream_link_fault:
+      return "upstream_link_fault";
     case fault_kind::store_refuses:
       return "store_refuses";
     case fault_kind::store_loses_answers:
@@ -221,24 +221,24 @@
   return "unlisted";
 }
 
-std::vector<fault> MakeSchedule(dice& chance, milliseconds length) {
+std::vector<fault> MakeSchedule(random_source& random, milliseconds length) {
   std::vector<fault> out;
   milliseconds series{0};
   while (series < length) {
-    const auto count = 1 + chance.Below(internal::kMostInSeries);
+    const auto count = 1 + random.Below(internal::kMostInSeries);
     for (std::size_t i = 0; i < count; ++i) {
       fault made;
-      made.kind = static_cast<fault_kind>(chance.Below(internal::kKinds));
+      made.kind = static_cast<fault_kind>(random.Below(internal::kKinds));
       made.at =
-          series + chance.Between(milliseconds(0), internal::kSeriesLength);
+          series + random.Between(milliseconds(0), internal::kSeriesLength);
       made.lasts =
-          chance.Between(internal::kShortestFault, internal::kLongestFault);
-      made.target = chance.Below(1U << 16U);
-      made.variant = chance.Below(1U << 16U);
+          random.Between(internal::kShortestFault, internal::kLongestFault);
+      made.target = random.Below(1U << 16U);
+      made.variant = random.Below(1U << 16U);
       out.push_back(made);
     }
     series += internal::kSeriesLength +
-              chance.Between(milliseconds(0), internal::kLongestPause);
+              random.Between(milliseconds(0), internal::kLongestPause);
   }
   std::sort(out.begin(), out.end(),
             [](const auto& a, const auto& b) { return a.at < b.at; });
@@ -267,34 +267,34 @@
     case fault_kind::all_entries_killed:
       co_await internal::KillAll(system, checks, what.lasts);
       break;
-    case fault_kind::store_link_harmed:
-      co_await internal::HarmLink(checks, *at.store_link, at.name, what);
+    case fault_kind::store_link_fault:
+      co_await internal::ImpairLink(checks, *at.store_link, at.name, what);
       break;
-    case fault_kind::caller_link_harmed:
-      co_await internal::HarmLink(checks, *at.caller_link, at.name, what);
+    case fault_kind::caller_link_fault:
+      co_await internal::ImpairLink(checks, *at.caller_link, at.name, what);
       break;
-    case fault_kind::upstream_link_harmed:
+    case fault_kind::upstream_link_fault:
       if (!up.busy) {
         up.busy = true;
         auto scope = up.id;
-        co_await internal::HarmLink(checks, *up.link, std::move(scope), what);
+        co_await internal::ImpairLink(checks, *up.link, std::move(scope), what);
         up.busy = false;
       }
       break;
     case fault_kind::store_refuses:
-      co_await internal::HarmStore(
+      co_await internal::ImpairStore(
           system, checks,
           what.variant % 2 == 0 ? store_fault::busy : store_fault::too_many,
           what.lasts);
       break;
     case fault_kind::store_loses_answers:
-      co_await internal::HarmStore(
+      co_await internal::ImpairStore(
           system, checks,
           what.variant % 2 == 0 ? store_fault::answer_lost : store_fault::reset,
           what.lasts);
       break;
     case fault_kind::store_silent:
-      co_await internal::HarmStore(
+      co_await internal::ImpairStore(
           system, checks,
           what.variant % 2 == 0 ? store_fault::silent : store_fault::garbage,
           what.lasts);
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -21,9 +21,9 @@
   settings_changed,
   clock_stepped,
   all_entries_killed,
-  store_link_harmed,
-  caller_link_harmed,
-  upstream_link_harmed,
+  store_link_fault,
+  caller_link_fault,
+  upstream_link_fault,
   store_refuses,
   store_loses_answers,
   store_silent,
@@ -54,10 +54,10 @@
  * @brief Draws the faults of a run: series of several that overlap, then a
  * pause.
  */
-[[nodiscard]] std::vector<fault> MakeSchedule(dice& chance,
+[[nodiscard]] std::vector<fault> MakeSchedule(random_source& random,
                                               std::chrono::milliseconds length);
 
-/** @brief Carries a fault out and undoes it; tells the judge what it harms. */
+/** @brief Carries a fault out and undoes it; tells the judge what it faults. */
 [[nodiscard]] boost::asio::awaitable<void> Inject(deployment& system,
                                                   judge& checks,
                                                   fault what);
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -19,7 +19,7 @@
   std::optional<got_answer> answer;
 };
 
-struct harm {
+struct fault_interval {
   std::string scope;
   bool planned{};
   mono_time began;
@@ -90,13 +90,13 @@
     violations.push_back({broken, request, std::move(detail)});
   }
 
-  /** Tells whether no harm of the given kinds touched a scope from `contact`
+  /** Tells whether no fault of the given kinds touched a scope from `contact`
    * before a time on. */
   [[nodiscard]] bool IsCalm(const std::string& scope,
                             mono_time from,
                             mono_time to,
                             bool planned_too) const {
-    return std::none_of(harms.begin(), harms.end(), [&](const auto& each) {
+    return std::none_of(faults.begin(), faults.end(), [&](const auto& each) {
       const bool concerns =
           each.scope == scope || each.scope == internal::kEverything;
       return concerns && (planned_too || !each.planned) && each.began <= to &&
@@ -114,8 +114,9 @@
     if (found == shown.end()) {
       return 0;
     }
-    const auto slack = IsTouched(sent, sent.at) ? options.order_slack
-                                                : options.order_slack_harmed;
+    const auto slack = IsTouched(sent, sent.at)
+                           ? options.order_slack
+                           : options.order_slack_after_fault;
     std::uint64_t floor = 0;
     for (const auto& each : found->second) {
       if (each.at + slack <= sent.at) {
@@ -250,7 +251,7 @@
   std::map<std::uint64_t, mono_time> manifests;
   std::map<std::string, mono_time> leaving;
   std::map<std::string, std::vector<internal::shown_manifest>> shown;
-  std::vector<internal::harm> harms;
+  std::vector<internal::fault_interval> faults;
   /** Counts accepted, by window; holders, by fencing number. */
   std::map<std::string, std::string> windows;
   std::map<std::uint64_t, std::string> holders;
@@ -355,12 +356,12 @@
   }
 }
 
-void judge::OnHarmBegan(const std::string& scope, bool planned, mono_time at) {
-  impl_->harms.push_back({scope, planned, at, std::nullopt});
+void judge::OnFaultBegan(const std::string& scope, bool planned, mono_time at) {
+  impl_->faults.push_back({scope, planned, at, std::nullopt});
 }
 
-void judge::OnHarmEnded(const std::string& scope, bool planned, mono_time at) {
-  for (auto& each : impl_->harms) {
+void judge::OnFaultEnded(const std::string& scope, bool planned, mono_time at) {
+  for (auto& each : impl_->faults) {
     if (each.scope == scope && each.planned == planned && !each.ended) {
       each.ended = at;
       return;
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -49,15 +49,15 @@
 
 /** @brief The agreed bounds, and whether they are judged. */
 struct judge_options {
-  /** Time after harm in which time bounds do not hold. */
+  /** Time after a fault in which time bounds do not hold. */
   std::chrono::milliseconds contact{3000};
   std::chrono::milliseconds manifest_bound{2000};
   std::chrono::milliseconds leaving_bound{2000};
   /** Requests sent so shortly after an effect of a manifest may have been read
    * before it. */
   std::chrono::milliseconds order_slack{250};
-  /** The same for an entry that was harmed lately. */
-  std::chrono::milliseconds order_slack_harmed{2000};
+  /** The same for an entry that had a fault lately. */
+  std::chrono::milliseconds order_slack_after_fault{2000};
   /** Without it nothing is judged by the wall clock's pace, for machines that
    * may be slow. */
   bool timed{true};
@@ -160,11 +160,11 @@
   void OnRecovery(const std::string& entry, bool serves);
 
   /**
-   * @brief Notes harm to an entry, an upstream, or `everything`.
+   * @brief Notes a fault of an entry, an upstream, or `everything`.
    * @param planned A stop or start that operators do; requests survive it.
    */
-  void OnHarmBegan(const std::string& scope, bool planned, mono_time at);
-  void OnHarmEnded(const std::string& scope, bool planned, mono_time at);
+  void OnFaultBegan(const std::string& scope, bool planned, mono_time at);
+  void OnFaultEnded(const std::string& scope, bool planned, mono_time at);
 
   [[nodiscard]] const std::vector<violation>& Violations() const;
   [[nodiscard]] judged_counts Counts() const;
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -27,7 +27,7 @@
 /** @brief Returns a fault's name, for logs. */
 [[nodiscard]] std::string_view NameOf(link_fault fault);
 
-/** @brief A TCP link over loopback that can be harmed from outside. */
+/** @brief A TCP link over loopback with faults that can be switched on. */
 class link_proxy {
  public:
   /** @param target `IP:PORT` of the server. */
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -39,11 +39,11 @@
  public:
   explicit soak_run(const run_options& options)
       : options_(options),
-        schedule_chance_(options.seed),
-        traffic_chance_(options.seed + 1),
+        schedule_random_(options.seed),
+        traffic_random_(options.seed + 1),
         judge_(options.checks),
-        system_(io_, options.system, judge_, traffic_chance_),
-        world_{system_, judge_, traffic_chance_} {}
+        system_(io_, options.system, judge_, traffic_random_),
+        world_{system_, judge_, traffic_random_} {}
 
   /** @return Exit status: 0, 1 if a promise was broken, 2 if none was judged.
    */
@@ -66,7 +66,7 @@
 
  private:
   asio::awaitable<void> Play() {
-    const auto schedule = MakeSchedule(schedule_chance_, options_.length);
+    const auto schedule = MakeSchedule(schedule_random_, options_.length);
     for (std::size_t i = 0; i < options_.callers; ++i) {
       asio::co_spawn(io_, RunCaller(world_), asio::detached);
     }
@@ -123,8 +123,8 @@
       const auto now = SuspendAwareNow();
       if (now - before > kPoll + kLateness) {
         ++held_up_;
-        judge_.OnHarmBegan("everything", false, before);
-        judge_.OnHarmEnded("everything", false, now);
+        judge_.OnFaultBegan("everything", false, before);
+        judge_.OnFaultEnded("everything", false, now);
       }
       system_.TakeReports();
       PrintNewViolations();
@@ -166,8 +166,8 @@
 
   run_options options_;
   asio::io_context io_{1};
-  dice schedule_chance_;
-  dice traffic_chance_;
+  random_source schedule_random_;
+  random_source traffic_random_;
   judge judge_;
   deployment system_;
   caller_world world_;
@@ -179,7 +179,7 @@
 
 run_options ReadCommandLine(int count, char** words) {
   TCLAP::CmdLine line(
-      "Runs daemons as processes, harms them from outside and checks what "
+      "Runs daemons as processes, faults them from outside and checks what "
       "callers, upstreams and the platform see",
       ' ', "0.1.0");
   const TCLAP::ValueArg<std::uint64_t> seed(
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -35,7 +35,7 @@
       std::max(last.registry_version(), told.registry_version()));
 }
 
-/** Takes note of the members that a relay hears. */
+/** Refreshes the members that a relay hears. */
 void TakeHeard(members& state, const wire::summary& told, mono_time now) {
   if (told.heard_size() == 0) {
     return;
@@ -54,8 +54,8 @@
   }
 }
 
-/** Work and billing counts are told in some digests only. */
-void KeepUntold(wire::digest& received, wire::digest& before) {
+/** Keeps work and billing counts, which some digests leave out. */
+void CarryOver(wire::digest& received, wire::digest& before) {
   if (received.incarnation() != before.incarnation()) {
     return;
   }
@@ -122,7 +122,7 @@
   if (!slot.peer_address.empty() && internal::IsOlder(received, slot.last)) {
     return false;
   }
-  internal::KeepUntold(received, slot.last);
+  internal::CarryOver(received, slot.last);
   const auto own = std::chrono::duration_cast<std::chrono::milliseconds>(
       wall.time_since_epoch());
   slot.clock_ahead = std::chrono::milliseconds(received.wall_ms()) - own;
@@ -155,7 +155,7 @@
     }
     slot.clock_ahead =
         std::chrono::milliseconds(told.record().wall_ms()) + age - own;
-    internal::KeepUntold(*told.mutable_record(), slot.last);
+    internal::CarryOver(*told.mutable_record(), slot.last);
     slot.last = std::move(*told.mutable_record());
     slot.peer_address = told.peer_address();
   }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -75,9 +75,9 @@
   std::chrono::microseconds crowding{800};
   /** How long an upstream is expected to keep a part that it read. */
   std::chrono::milliseconds cache_time{20000};
-  /** Upstreams compared for each request, drawn anew each time, besides the
-   * home of its shared parts; zero for all. Where many entries act on the same
-   * late news, comparing all sends them to the same upstream at once. */
+  /** Upstreams sampled for each request besides the home of its shared parts;
+   * zero compares all. Where many entries act on the same stale loads,
+   * comparing all makes them pick the same upstream at once. */
   std::size_t most_compared{0};
   /** Part of the memory beyond which running requests displace one another. */
   double memory_part{0.85};
--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -304,9 +304,9 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(many_entries_with_late_news, twelve_engines)
+BOOST_FIXTURE_TEST_SUITE(many_entries_with_stale_loads, twelve_engines)
 
-BOOST_AUTO_TEST_CASE(requests_compare_some_upstreams_and_spread) {
+BOOST_AUTO_TEST_CASE(requests_sample_upstreams_and_spread) {
   SetCount(100);
   settings.most_compared = 8;
   std::map<std::string, int> chosen;
@@ -324,7 +324,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(request_whose_draw_was_tried_takes_another) {
+BOOST_AUTO_TEST_CASE(request_whose_sample_was_tried_takes_another) {
   SetCount(20);
   settings.most_compared = 1;
   std::set<std::string> tried;
--- a/test/soak/judge_test.cc
+++ b/test/soak/judge_test.cc
@@ -233,7 +233,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(planned_stop_is_no_excuse_for_a_broken_answer) {
-  checks.OnHarmBegan("entry-1", true, now - 1s);
+  checks.OnFaultBegan("entry-1", true, now - 1s);
   SendAndRun("r1", request_kind::booking);
   checks.OnAnswer(Answer("r1", 0));
   CheckBroken(promise::answered);
@@ -241,7 +241,7 @@
 
 BOOST_AUTO_TEST_CASE(connection_of_a_killed_entry_may_end) {
   SendAndRun("r1", request_kind::booking);
-  checks.OnHarmBegan("entry-1", false, now);
+  checks.OnFaultBegan("entry-1", false, now);
   checks.OnAnswer(Answer("r1", 0));
   CheckNoneBroken();
 }
@@ -285,9 +285,9 @@
   CheckBroken(promise::withdrawn_right);
 }
 
-BOOST_AUTO_TEST_CASE(dropped_route_of_a_harmed_entry_is_allowed) {
-  checks.OnHarmBegan("entry-1", false, now - 2s);
-  checks.OnHarmEnded("entry-1", false, now - 1s);
+BOOST_AUTO_TEST_CASE(dropped_route_of_an_entry_with_a_fault_is_allowed) {
+  checks.OnFaultBegan("entry-1", false, now - 2s);
+  checks.OnFaultEnded("entry-1", false, now - 1s);
   SendAndRunOn("r1", 2, 3);
   CheckNoneBroken();
 }
