Share the wait of stand-ins and soak; name the sampling by its usual terms

Cause: a reading of the change found the same waiting coroutine in four files, a daemon's number parsed back out of its name, and names that a newcomer would stumble over (draw, most_compared, IsTouched).

Change: one platform_test::Wait; the soak's entry holds its data centre; sampling_key, sample_size, IsSampled, IsInTouch. Behaviour, bounds and assertions stay.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -34,7 +34,7 @@
 constexpr std::size_t kFewMembers = 3;
 /** Upstreams that a request samples in a large fleet, where reported loads are
  * stale. */
-constexpr std::size_t kComparedInLargeFleet = 8;
+constexpr std::size_t kSampleInLargeFleet = 8;
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
 constexpr std::chrono::milliseconds kPeerMemory{120000};
@@ -427,10 +427,10 @@
       placement::Tick(pool, now);
     }
     RefreshOthersLoad(state_);
-    state_.placement_options.most_compared =
+    state_.placement_options.sample_size =
         fleet::IsDense(state_.members, state_.fleet_options)
             ? 0
-            : internal::kComparedInLargeFleet;
+            : internal::kSampleInLargeFleet;
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -4,6 +4,8 @@
 namespace internal {
 namespace {
 
+constexpr double kMsPerSecond = 1000;
+
 double Seconds(mono_duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -28,7 +30,7 @@
   metrics.Set("mimosadeck_upstream_unread_tokens", "service", service,
               all.unread_tokens);
   metrics.Set("mimosadeck_reading_seconds_per_token", "service", service,
-              placement::MsPerToken(pool.reading) / 1000);
+              placement::MsPerToken(pool.reading) / kMsPerSecond);
 }
 
 }  // namespace
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -33,7 +33,7 @@
 placement::job JobOf(const platform::caller_request& asked,
                      const routing::route& route) {
   placement::job out;
-  out.draw = Hash64(asked.id);
+  out.sampling_key = Hash64(asked.id);
   out.goal = route.goal;
   out.pause_goal = route.pause_goal.value_or(std::chrono::milliseconds(0));
   out.parts = asked.prompt_parts;
--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -6,10 +6,6 @@
 #include <filesystem>
 #include <fstream>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 namespace mimosadeck::soak {
@@ -45,7 +41,7 @@
   return {{"name", name}, {"api_keys", std::move(keys)}};
 }
 
-std::string ZoneOf(std::size_t number) {
+std::string DataCentreOf(std::size_t number) {
   return std::string(1, static_cast<char>('a' + number % 3));
 }
 
@@ -111,7 +107,7 @@
       std::make_unique<platform_test::upstream_stand_in>(io_, made.id);
   made.link = std::make_unique<link_proxy>(io_, made.server->Address());
   made.server->advertised = made.link->Address();
-  made.server->data_centre = internal::ZoneOf(number);
+  made.server->data_centre = internal::DataCentreOf(number);
   made.server->choose = [this, &made](const net::http_request& request) {
     made.server->work_time =
         random_.Between(std::chrono::milliseconds(0), internal::kLongestWork);
@@ -173,6 +169,7 @@
 void deployment::AddEntry(std::size_t number) {
   auto& made = *entries.emplace_back(std::make_unique<entry>());
   made.name = "entry-" + std::to_string(number);
+  made.data_centre = internal::DataCentreOf(number);
   // Each entry has a loopback address of its own, as entries are told apart.
   made.ip = "127.0.9." + std::to_string(number + 1);
   const auto prefix = options_.directory + '/' + made.name;
@@ -185,12 +182,10 @@
 }
 
 void deployment::WriteSettings(const entry& of) const {
-  const auto number = static_cast<std::size_t>(
-      std::stoul(of.name.substr(of.name.find('-') + 1)));
   const json::object content{
       {"node_name", of.name},
       {"ip", of.ip},
-      {"zone", internal::ZoneOf(number)},
+      {"zone", of.data_centre},
       {"listen",
        {{"front", of.listeners[0]},
         {"ready", of.listeners[1]},
@@ -245,10 +240,4 @@
   return found == entries.end() ? nullptr : found->get();
 }
 
-asio::awaitable<void> Wait(std::chrono::milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, time);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 }  // namespace mimosadeck::soak
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -14,13 +14,16 @@
 
 #include "platform/store_stand_in.h"
 #include "platform/upstream_stand_in.h"
+#include "platform/wait.h"
 #include "soak/judge.h"
 #include "soak/link_proxy.h"
 #include "system/deployment.h"
 
 namespace mimosadeck::soak {
 
-/** @brief Chance from one seed. */
+using platform_test::Wait;
+
+/** @brief Random numbers from one seed. */
 class random_source {
  public:
   explicit random_source(std::uint64_t seed) : engine_(seed) {}
@@ -58,6 +61,7 @@
 /** @brief One daemon, its links, and the process that runs now. */
 struct entry {
   std::string name;
+  std::string data_centre;
   std::string ip;
   std::string settings_file;
   std::string clock_file;
@@ -67,7 +71,7 @@
   int starts{};
   /** Callers, ready, control and directory; fixed by the first start. */
   std::array<std::string, 4> listeners{"", "", "", ""};
-  /** Somebody is stopping or starting it. */
+  /** A fault is stopping or starting it. */
   bool busy{};
 
   [[nodiscard]] std::string ProcessName() const {
@@ -153,9 +157,6 @@
 /** @brief Manifests after the first that hold a key or route. */
 inline constexpr std::uint64_t kManifestsHeld = 1;
 
-/** @brief Waits. */
-[[nodiscard]] boost::asio::awaitable<void> Wait(std::chrono::milliseconds time);
-
 }  // namespace mimosadeck::soak
 
 #endif  // SOAK_DEPLOYMENT_H_
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -57,7 +57,8 @@
 [[nodiscard]] std::vector<fault> MakeSchedule(random_source& random,
                                               std::chrono::milliseconds length);
 
-/** @brief Carries a fault out and undoes it; tells the judge what it faults. */
+/** @brief Carries a fault out and undoes it; tells the judge what it
+ * affects. */
 [[nodiscard]] boost::asio::awaitable<void> Inject(deployment& system,
                                                   judge& checks,
                                                   fault what);
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -104,7 +104,7 @@
     });
   }
 
-  [[nodiscard]] bool IsTouched(const sent_request& sent, mono_time to) const {
+  [[nodiscard]] bool IsInTouch(const sent_request& sent, mono_time to) const {
     return IsCalm(sent.entry, sent.at, to, true);
   }
 
@@ -114,7 +114,7 @@
     if (found == shown.end()) {
       return 0;
     }
-    const auto slack = IsTouched(sent, sent.at)
+    const auto slack = IsInTouch(sent, sent.at)
                            ? options.order_slack
                            : options.order_slack_after_fault;
     std::uint64_t floor = 0;
@@ -150,7 +150,7 @@
     const auto replaced = manifests.upper_bound(sent.last_manifest);
     if (replaced != manifests.end() &&
         sent.at > replaced->second + options.manifest_bound &&
-        IsTouched(sent, run.at)) {
+        IsInTouch(sent, run.at)) {
       Break(promise::withdrawn_right, sent.id,
             sent.process + " ran what manifest " +
                 std::to_string(replaced->first) + " had withdrawn");
@@ -158,7 +158,7 @@
     const auto left = leaving.find(run.upstream);
     if (left != leaving.end() && sent.at > left->second &&
         run.at > left->second + options.leaving_bound &&
-        IsTouched(sent, run.at)) {
+        IsInTouch(sent, run.at)) {
       Break(promise::leaving_upstream, sent.id,
             sent.process + " sent it to " + run.upstream);
     }
--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -9,11 +9,11 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include "net/address.h"
+#include "platform/wait.h"
 
 namespace mimosadeck::soak {
 
@@ -43,13 +43,6 @@
   tcp::socket server;
 };
 
-asio::awaitable<void> Wait(asio::io_context& io,
-                           std::chrono::milliseconds time) {
-  asio::steady_timer timer(io, time);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -118,7 +111,7 @@
   asio::awaitable<void> Serve(std::shared_ptr<internal::connection> made) {
     const auto self = shared_from_this();
     while (IsCut(true) && !closed) {
-      co_await internal::Wait(io, internal::kCutPoll);
+      co_await platform_test::Wait(internal::kCutPoll);
     }
     boost::system::error_code failure;
     co_await made->server.async_connect(
@@ -149,10 +142,10 @@
           asio::buffer(buffer),
           asio::redirect_error(asio::use_awaitable, failure));
       while (IsCut(towards_server) && !closed) {
-        co_await internal::Wait(io, internal::kCutPoll);
+        co_await platform_test::Wait(internal::kCutPoll);
       }
       if (fault == link_fault::delayed) {
-        co_await internal::Wait(io, internal::kDelay);
+        co_await platform_test::Wait(internal::kDelay);
       }
       if (failure == asio::error::eof) {
         boost::system::error_code ignored;
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -155,13 +155,13 @@
   return cost;
 }
 
-/** Tells whether a request compares this upstream. */
-bool IsCompared(const candidate& at,
-                const options& settings,
-                const job& wanted,
-                std::size_t count) {
-  return settings.most_compared == 0 || settings.most_compared >= count ||
-         Mix(at.rank ^ wanted.draw) % count < settings.most_compared;
+/** Tells whether an upstream is in a request's sample. */
+bool IsSampled(const candidate& at,
+               const options& settings,
+               const job& wanted,
+               std::size_t count) {
+  return settings.sample_size == 0 || settings.sample_size >= count ||
+         Mix(at.rank ^ wanted.sampling_key) % count < settings.sample_size;
 }
 
 struct estimate {
@@ -265,7 +265,7 @@
   const auto* home = internal::HomeOf(group, wanted);
   const candidate* best = nullptr;
   internal::estimate lowest;
-  bool best_compared = false;
+  bool best_sampled = false;
   bool best_ejected = false;
   bool beside_long = false;
   for (std::size_t i = 0; i < all.size(); ++i) {
@@ -285,12 +285,12 @@
                     static_cast<double>(wanted.goal.count());
     }
     const bool ejected = outlier::IsEjected(at.health, now);
-    const bool compared =
-        &at == home || internal::IsCompared(at, settings, wanted, group.size());
-    const auto rank = std::tuple(ejected, !compared, found.cost);
-    if (!best || rank < std::tuple(best_ejected, !best_compared, lowest.cost)) {
+    const bool sampled =
+        &at == home || internal::IsSampled(at, settings, wanted, group.size());
+    const auto rank = std::tuple(ejected, !sampled, found.cost);
+    if (!best || rank < std::tuple(best_ejected, !best_sampled, lowest.cost)) {
       best = &at;
-      best_compared = compared;
+      best_sampled = sampled;
       beside_long = i >= border;
       lowest = found;
       best_ejected = ejected;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -36,8 +36,9 @@
   std::chrono::milliseconds goal{};
   /** Longest pause in the answer that is on time; zero if any is. */
   std::chrono::milliseconds pause_goal{};
-  /** Number by which requests differ, such as a hash of their id. */
-  std::uint64_t draw{};
+  /** Decides which upstreams are sampled, such as a hash of the request's id.
+   */
+  std::uint64_t sampling_key{};
 };
 
 /** @brief Work on one upstream. */
@@ -78,7 +79,7 @@
   /** Upstreams sampled for each request besides the home of its shared parts;
    * zero compares all. Where many entries act on the same stale loads,
    * comparing all makes them pick the same upstream at once. */
-  std::size_t most_compared{0};
+  std::size_t sample_size{0};
   /** Part of the memory beyond which running requests displace one another. */
   double memory_part{0.85};
   outlier::options health;
--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -308,12 +308,12 @@
 
 BOOST_AUTO_TEST_CASE(requests_sample_upstreams_and_spread) {
   SetCount(100);
-  settings.most_compared = 8;
+  settings.sample_size = 8;
   std::map<std::string, int> chosen;
   for (std::uint64_t i = 0; i < 2000; ++i) {
     auto chat = Chat(i);
     chat.parts.clear();
-    chat.draw = mimosadeck::Hash64(std::to_string(i));
+    chat.sampling_key = mimosadeck::Hash64(std::to_string(i));
     const auto found = placement::Choose(pool, settings, chat, "a", {}, now);
     BOOST_REQUIRE(found);
     ++chosen[found->incarnation];
@@ -326,7 +326,7 @@
 
 BOOST_AUTO_TEST_CASE(request_whose_sample_was_tried_takes_another) {
   SetCount(20);
-  settings.most_compared = 1;
+  settings.sample_size = 1;
   std::set<std::string> tried;
   auto chat = Chat(1);
   for (int i = 0; i < 20; ++i) {
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -1,12 +1,11 @@
 #include "platform/store_stand_in.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <boost/url.hpp>
 
 #include "base/base.h"
+#include "platform/wait.h"
 
 namespace mimosadeck::platform_test {
 
@@ -31,13 +30,6 @@
   return out;
 }
 
-asio::awaitable<void> Wait(asio::io_context& io,
-                           std::chrono::milliseconds time) {
-  asio::steady_timer timer(io, time);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 json::object RowOf(const std::string& table,
                    const std::string& key,
                    const std::string& value,
@@ -100,7 +92,7 @@
       exchange.CutOff();
       co_return;
     case store_fault::silent:
-      co_await Wait(io_, kSilence);
+      co_await Wait(kSilence);
       co_return;
     case store_fault::garbage:
       response.body = "{\"rows\":[{\"key";
@@ -213,7 +205,7 @@
     if (!rows.empty() || left <= std::chrono::milliseconds(0)) {
       co_return Json(200, {{"rows", rows}, {"ver", version_}});
     }
-    co_await Wait(io_, kFeedPoll);
+    co_await Wait(kFeedPoll);
     left -= kFeedPoll;
   }
 }
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -1,10 +1,10 @@
 #include "platform/upstream_stand_in.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "platform/wait.h"
+
 namespace mimosadeck::platform_test {
 
 namespace asio = boost::asio;
@@ -20,13 +20,6 @@
 constexpr int kSlots = 4;
 constexpr int kWrongUpstream = 421;
 
-asio::awaitable<void> Wait(asio::io_context& io,
-                           std::chrono::milliseconds time) {
-  asio::steady_timer timer(io, time);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 bool IsStream(scripted_answer answer) {
   return answer == scripted_answer::stream ||
          answer == scripted_answer::broken_stream ||
@@ -114,7 +107,7 @@
     co_return;
   }
   if (work_time.count() > 0) {
-    co_await Wait(io_, work_time);
+    co_await Wait(work_time);
   }
   net::http_response response;
   response.fields = std::move(fields);
@@ -158,7 +151,7 @@
       co_return;
     }
     co_await exchange.WriteChunk(std::move(event));
-    co_await Wait(io_, pause);
+    co_await Wait(pause);
   }
   co_await exchange.EndStream();
 }
