--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -47,7 +47,7 @@
 
 }  // namespace
 
-store_stand_in::store_stand_in(asio::io_context& io) : io_(io) {
+store_stand_in::store_stand_in(asio::io_context& io) {
   server_ = std::make_unique<net::http_server>(
       std::vector<asio::io_context*>{&io}, "127.0.0.1:0", net::server_options{},
       [this](auto request, auto& exchange) {
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -82,7 +82,6 @@
   net::http_response Report(const net::http_request& request);
   boost::asio::awaitable<net::http_response> Feed(std::string target);
 
-  boost::asio::io_context& io_;
   std::uint64_t version_{10};
   std::uint64_t oldest_{0};
   std::map<row_name, stored> rows_;
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -53,7 +53,7 @@
 }
 
 upstream_stand_in::upstream_stand_in(asio::io_context& io, std::string id)
-    : io_(io), id_(std::move(id)) {
+    : id_(std::move(id)) {
   server_ = std::make_unique<net::http_server>(
       std::vector<asio::io_context*>{&io}, "127.0.0.1:0", net::server_options{},
       [this](auto request, auto& exchange) {
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -89,7 +89,6 @@
                                       net::http_fields fields,
                                       net::exchange& exchange);
 
-  boost::asio::io_context& io_;
   std::string id_;
   std::uint64_t started_at_ms_{5};
   std::uint64_t runs_begun_{};
