Copy manifests as compressed changes; choose relays by their links

Each version's whole text (225 KB) goes from two relays over links of 10 Mbit/s to 14 entries, copies run into their limit of 0.5 s and start again, and the registry's copies wait in the same loop.

Ruled out: held-back calls of relays that are turned away: relays of other data centres answer within 0.3 s, and the delays fall on entries in touch.

Change: src/revision keeps recent texts and tells zstd changes from the asker's version; relays are the entries with the fastest links; manifests and upstreams are copied by two loops; a body may take 2 s once its head is there.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -77,7 +77,8 @@
     gossip_.Start();
     asio::co_spawn(io_, FollowManifest(state_), asio::detached);
     asio::co_spawn(io_, FollowUpstreams(state_), asio::detached);
-    asio::co_spawn(io_, FollowEntries(state_), asio::detached);
+    asio::co_spawn(io_, CopyManifests(state_), asio::detached);
+    asio::co_spawn(io_, CopyUpstreams(state_), asio::detached);
     asio::co_spawn(io_, duties_.Run(), asio::detached);
     WaitForSignal();
     io_.run();
@@ -150,8 +151,8 @@
               platform::kMostDirectoryAddresses, SuspendAwareNow()),
           std::min(kDirectoryTtl, state_.machine.bounds.directory_ttl));
     }
-    if (request.target == kManifestPath && state_.table) {
-      return PlainText(state_.manifest_text, "application/octet-stream");
+    if (request.target.starts_with(kManifestPath) && state_.table) {
+      return AnswerManifest(request.target);
     }
     if (request.target.starts_with(kUpstreamsPath) &&
         state_.registry_fresh_at) {
@@ -165,6 +166,17 @@
     return NotFound();
   }
 
+  net::http_response AnswerManifest(std::string_view target) {
+    auto encoded = EncodeManifest(state_, target);
+    if (const auto* failed = std::get_if<error>(&encoded)) {
+      telemetry::Log(telemetry::level::error, "manifest_not_told",
+                     {{"reason", failed->message}});
+      return NotFound();
+    }
+    return PlainText(std::get<std::string>(std::move(encoded)),
+                     "application/octet-stream");
+  }
+
   void WaitForSignal() {
     signals_.async_wait([this](boost::system::error_code failure, int signal) {
       if (failure) {
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -223,6 +223,7 @@
   out.set_wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count());
+  out.set_link_mbps(state_.machine.link_mbps);
   out.set_manifest_version(state_.table ? state_.table->Version() : 0);
   out.set_fencing(lease::IsHeld(state_.lease, now) ? state_.lease.fencing : 0);
   out.set_members_known(
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -106,10 +106,14 @@
   }
 }
 
+fleet::self_place PlaceOf(const edge_state& state, std::uint64_t failures) {
+  return {state.machine.name, state.machine.data_centre, failures,
+          state.machine.link_mbps};
+}
+
 bool FollowsStore(const edge_state& state) {
   return fleet::FollowsStore(state.members, state.fleet_options,
-                             {state.machine.name, state.machine.data_centre, 0},
-                             SuspendAwareNow());
+                             PlaceOf(state, 0), SuspendAwareNow());
 }
 
 bool IsRegistryCurrent(const edge_state& state) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -20,6 +20,7 @@
 #include "quarantine/quarantine.h"
 #include "registry/registry.h"
 #include "retry/retry.h"
+#include "revision/revision.h"
 #include "routing/routing.h"
 #include "telemetry/telemetry.h"
 
@@ -41,7 +42,9 @@
   std::uint64_t incarnation{};
 
   std::shared_ptr<const routing::table> table;
-  std::string manifest_text;
+  /** Texts of the manifests adopted last. */
+  revision::history manifests;
+  revision::options manifest_options;
 
   registry::upstream_set upstreams;
   registry::options registry_options;
@@ -81,6 +84,11 @@
 /** @brief Tells the pools what the other entries have sent. */
 void RefreshOthersLoad(edge_state& state);
 
+/** @brief Returns this entry's place in the fleet.
+ * @param failures Calls to other entries that failed. */
+[[nodiscard]] fleet::self_place PlaceOf(const edge_state& state,
+                                        std::uint64_t failures);
+
 /** @brief Tells whether this entry follows the store itself. */
 [[nodiscard]] bool FollowsStore(const edge_state& state);
 
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -23,7 +23,11 @@
 constexpr std::chrono::milliseconds kCompareInterval{100};
 /** The store usually brings a new manifest within this time. */
 constexpr std::chrono::milliseconds kStoreLead{150};
+/** Time for connecting to another entry and for the head of its answer. */
 constexpr std::chrono::milliseconds kEntryCallTimeout{500};
+/** Time for the rest of an answer: an entry with a slow link may hand a large
+ * manifest to many others at once. */
+constexpr std::chrono::milliseconds kEntryBodyTimeout{2000};
 constexpr std::size_t kMostAnswerBytes = 16U << 20U;
 constexpr std::string_view kSince = "?since=";
 
@@ -118,6 +122,7 @@
     LogCopyFailed(address, path, "status " + std::to_string(call.Status()));
     co_return std::nullopt;
   }
+  call.SetDeadline(std::chrono::steady_clock::now() + kEntryBodyTimeout);
   auto body = co_await call.ReadBody(kMostAnswerBytes);
   if (const auto* broken = std::get_if<net::call_failure>(&body)) {
     LogCopyFailed(address, path, broken->message);
@@ -140,10 +145,23 @@
                                fleet::told_version version,
                                std::uint64_t own,
                                std::uint64_t failures) {
-  return fleet::FindAhead(
-      state.members, state.fleet_options,
-      {state.machine.name, state.machine.data_centre, failures}, version, own,
-      SuspendAwareNow());
+  return fleet::FindAhead(state.members, state.fleet_options,
+                          PlaceOf(state, failures), version, own,
+                          SuspendAwareNow());
+}
+
+std::string SinceTarget(std::string_view path, std::uint64_t version) {
+  return std::string(path).append(kSince).append(std::to_string(version));
+}
+
+/** @brief Returns the version that a target asks from; 0 if it names none. */
+std::uint64_t SinceOf(std::string_view target) {
+  std::uint64_t since = 0;
+  if (const auto found = target.find(kSince); found != std::string_view::npos) {
+    const auto text = target.substr(found + kSince.size());
+    std::from_chars(text.data(), text.data() + text.size(), since);
+  }
+  return since;
 }
 
 wire::upstream_entry Encode(const registry::copied& from) {
@@ -211,18 +229,40 @@
   RefreshPools(state);
 }
 
+/** @brief Takes a change of the manifest. @return False if it cannot be read.
+ */
+bool ApplyManifestChange(edge_state& state,
+                         const std::string& received,
+                         std::string_view origin) {
+  wire::manifest_change told;
+  if (!told.ParseFromString(received)) {
+    telemetry::Log(telemetry::level::warning, "manifest_unreadable",
+                   {{"origin", origin}, {"reason", "not a change"}});
+    return false;
+  }
+  const auto text =
+      revision::Apply(state.manifests, state.manifest_options,
+                      {told.since(), told.version(), told.content()});
+  if (const auto* bad = std::get_if<error>(&text)) {
+    telemetry::Log(telemetry::level::warning, "manifest_unreadable",
+                   {{"origin", origin}, {"reason", bad->message}});
+    return false;
+  }
+  AdoptManifest(state, std::get<std::string>(text), origin);
+  return true;
+}
+
 /** @brief Copies a newer manifest from another entry. @return False if it did
- * not answer. */
+ * not answer or its answer cannot be read. */
 asio::awaitable<bool> CopyManifest(edge_state& state,
                                    const fleet::member& from) {
   const auto origin = from.last.name();
   auto address = from.last.control_address();
-  std::string path(kManifestPath);
-  const auto text = co_await Fetch(state, std::move(address), std::move(path));
-  if (text) {
-    AdoptManifest(state, *text, origin);
-  }
-  co_return text.has_value();
+  auto path =
+      SinceTarget(kManifestPath, state.table ? state.table->Version() : 0);
+  const auto answer =
+      co_await Fetch(state, std::move(address), std::move(path));
+  co_return answer&& ApplyManifestChange(state, *answer, origin);
 }
 
 /** @brief Copies newer upstreams from another entry. @return False if it did
@@ -231,8 +271,7 @@
                                    const fleet::member& from) {
   const auto origin = from.last.name();
   auto address = from.last.control_address();
-  auto path = std::string(kUpstreamsPath) + std::string(kSince) +
-              std::to_string(state.upstreams.version);
+  auto path = SinceTarget(kUpstreamsPath, state.upstreams.version);
   const auto text = co_await Fetch(state, std::move(address), std::move(path));
   if (text) {
     AdoptRegistry(state, *text, origin);
@@ -240,6 +279,11 @@
   co_return text.has_value();
 }
 
+/** @brief Returns how long another entry must be ahead before it is copied. */
+std::chrono::milliseconds LeadToCopy(const edge_state& state) {
+  return FollowsStore(state) ? kStoreLead : std::chrono::milliseconds(0);
+}
+
 /** @brief Tells for how long another entry has been ahead. */
 class lead_timer {
  public:
@@ -280,8 +324,9 @@
                  {{"version", std::to_string(manifest.version)},
                   {"origin", origin},
                   {"routes", std::to_string(manifest.routes.size())}});
+  revision::Add(state.manifests, state.manifest_options, manifest.version,
+                text);
   state.table = std::make_shared<const routing::table>(std::move(manifest));
-  state.manifest_text = text;
   RefreshPools(state);
 }
 
@@ -346,44 +391,57 @@
   }
 }
 
-asio::awaitable<void> FollowEntries(edge_state& state) {
-  internal::lead_timer manifest;
-  internal::lead_timer upstreams;
+asio::awaitable<void> CopyManifests(edge_state& state) {
+  internal::lead_timer timer;
   std::uint64_t failures = 0;
   while (!state.stopping) {
     co_await Sleep(internal::kCompareInterval);
-    const auto before = state.upstreams.generation;
-    registry::Tick(state.upstreams, SuspendAwareNow());
-    if (state.upstreams.generation != before) {
-      RefreshPools(state);
-    }
-    const auto lead = FollowsStore(state) ? internal::kStoreLead
-                                          : std::chrono::milliseconds(0);
     const auto* from =
         internal::FindAhead(state, &wire::digest::manifest_version,
                             state.table ? state.table->Version() : 0, failures);
-    if (manifest.HasLasted(from, lead)) {
+    if (timer.HasLasted(from, internal::LeadToCopy(state))) {
       const bool copied = co_await internal::CopyManifest(state, *from);
       failures += copied ? 0 : 1;
     }
-    from = internal::FindAhead(state, &wire::digest::registry_version,
-                               state.upstreams.version, failures);
-    if (upstreams.HasLasted(from, lead)) {
+  }
+}
+
+asio::awaitable<void> CopyUpstreams(edge_state& state) {
+  internal::lead_timer timer;
+  std::uint64_t failures = 0;
+  while (!state.stopping) {
+    co_await Sleep(internal::kCompareInterval);
+    const auto before = state.upstreams.generation;
+    registry::Tick(state.upstreams, SuspendAwareNow());
+    if (state.upstreams.generation != before) {
+      RefreshPools(state);
+    }
+    const auto* from =
+        internal::FindAhead(state, &wire::digest::registry_version,
+                            state.upstreams.version, failures);
+    if (timer.HasLasted(from, internal::LeadToCopy(state))) {
       const bool copied = co_await internal::CopyRegistry(state, *from);
       failures += copied ? 0 : 1;
     }
   }
 }
 
-std::string EncodeRegistry(const edge_state& state, std::string_view target) {
-  std::uint64_t since = 0;
-  if (const auto found = target.find(internal::kSince);
-      found != std::string_view::npos) {
-    const auto text = target.substr(found + internal::kSince.size());
-    std::from_chars(text.data(), text.data() + text.size(), since);
+result<std::string> EncodeManifest(edge_state& state, std::string_view target) {
+  auto told = revision::ChangeSince(state.manifests, internal::SinceOf(target));
+  if (auto* failed = std::get_if<error>(&told)) {
+    return std::move(*failed);
   }
-  const auto changes =
-      registry::ChangesSince(state.upstreams, since, SuspendAwareNow());
+  auto& change = std::get<revision::change>(told);
+  wire::manifest_change out;
+  out.set_since(change.since);
+  out.set_version(change.version);
+  out.set_content(std::move(change.content));
+  return out.SerializeAsString();
+}
+
+std::string EncodeRegistry(const edge_state& state, std::string_view target) {
+  const auto changes = registry::ChangesSince(
+      state.upstreams, internal::SinceOf(target), SuspendAwareNow());
   wire::upstream_registry out;
   out.set_since(changes.since);
   out.set_version(changes.version);
--- a/apps/mimosadeckd/edge/sync.h
+++ b/apps/mimosadeckd/edge/sync.h
@@ -10,10 +10,10 @@
 
 namespace mimosadeck::edge {
 
-/** @brief Path at which an entry hands its manifest to others. */
-inline constexpr std::string_view kManifestPath = "/manifest";
-/** @brief Path at which an entry hands its registry to others; the parameter
+/** @brief Path at which an entry hands its manifest to others; the parameter
  * `since` asks only for what changed after a version. */
+inline constexpr std::string_view kManifestPath = "/manifest";
+/** @brief Path at which an entry hands its registry to others, likewise. */
 inline constexpr std::string_view kUpstreamsPath = "/upstreams";
 
 /**
@@ -30,8 +30,18 @@
 /** @brief Follows the upstreams' entries in the store. */
 [[nodiscard]] asio::awaitable<void> FollowUpstreams(edge_state& state);
 
-/** @brief Takes from other entries what the store does not give this one. */
-[[nodiscard]] asio::awaitable<void> FollowEntries(edge_state& state);
+/** @brief Copies manifests from other entries that know newer ones. */
+[[nodiscard]] asio::awaitable<void> CopyManifests(edge_state& state);
+
+/** @brief Copies upstreams from other entries that know newer ones. */
+[[nodiscard]] asio::awaitable<void> CopyUpstreams(edge_state& state);
+
+/**
+ * @brief Writes what the target of another entry's call asks of the manifest.
+ * @return The answer's body, or change_unreadable if it cannot be written.
+ */
+[[nodiscard]] result<std::string> EncodeManifest(edge_state& state,
+                                                 std::string_view target);
 
 /** @brief Writes what the target of another entry's call asks of the registry.
  */
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -5,7 +5,8 @@
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libboost-test1.81-dev libzmq3-dev cppzmq-dev libprotobuf-dev
   protobuf-compiler prometheus-cpp-dev libtclap-dev liblog4cplus-dev
-  libxxhash-dev librapidcheck-dev libopentracing-dev libssl-dev curl)
+  libxxhash-dev librapidcheck-dev libopentracing-dev libssl-dev
+  libzstd-dev curl)
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   exit 0
 fi
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -60,6 +60,7 @@
     code_entry{result_code::already_exists, "already_exists", 409},
     code_entry{result_code::file_unreadable, "file_unreadable", 400},
     code_entry{result_code::bad_argument, "bad_argument", 400},
+    code_entry{result_code::change_unreadable, "change_unreadable", 400},
 };
 
 const code_entry* Find(result_code code) {
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -62,6 +62,7 @@
   already_exists = 1604,
   file_unreadable = 1605,
   bad_argument = 1606,
+  change_unreadable = 1607,
 };
 
 /**
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,7 +1,9 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
+#include <utility>
 
 #include "base/base.h"
 
@@ -22,6 +24,12 @@
   return (value ^ (value >> kHalf)) * kGoldenRatio;
 }
 
+/** Orders members as relays: the fastest link first, equal ones by name. */
+std::pair<std::uint32_t, std::uint64_t> RelayRank(std::string_view name,
+                                                  std::uint32_t link_mbps) {
+  return {std::numeric_limits<std::uint32_t>::max() - link_mbps, Hash64(name)};
+}
+
 /** A relay's summary tells its own versions sooner than its record does. */
 void TakeVersions(members& state, const wire::summary& told) {
   const auto found = state.by_name.find(told.relay());
@@ -176,7 +184,8 @@
     return live;
   }
   std::sort(live.begin(), live.end(), [](const auto* a, const auto* b) {
-    return Hash64(a->last.name()) < Hash64(b->last.name());
+    return internal::RelayRank(a->last.name(), a->last.link_mbps()) <
+           internal::RelayRank(b->last.name(), b->last.link_mbps());
   });
   std::map<std::string, std::size_t> taken;
   std::vector<const member*> out;
@@ -195,11 +204,13 @@
   if (IsDense(state, settings)) {
     return true;
   }
-  const auto own = Hash64(self.name);
+  const auto own = internal::RelayRank(self.name, self.link_mbps);
   std::size_t before = 0;
   for (const auto* each : Live(state, settings, now)) {
     const bool is_near = each->last.data_centre() == self.data_centre;
-    before += is_near && Hash64(each->last.name()) < own ? 1 : 0;
+    const auto rank =
+        internal::RelayRank(each->last.name(), each->last.link_mbps());
+    before += is_near && rank < own ? 1 : 0;
   }
   if (before < settings.relays) {
     return true;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -113,8 +113,8 @@
 /**
  * @brief Returns the members to which this entry sends its digests.
  *
- * In a large fleet these are the relays of each data centre, which every entry
- * ranks alike.
+ * In a large fleet these are the relays of each data centre: those with the
+ * fastest links, which every entry ranks alike.
  */
 [[nodiscard]] std::vector<const member*> Relays(const members& state,
                                                 const options& settings,
@@ -126,6 +126,7 @@
   std::string_view data_centre;
   /** Calls to other members that failed; each leads to another choice. */
   std::uint64_t failures{};
+  std::uint32_t link_mbps{};
 };
 
 /**
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -166,6 +166,42 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(members_with_the_fastest_links_are_the_relays) {
+  constexpr int kEntries = 60;
+  constexpr int kFast = 7;
+  for (int i = 0; i < kEntries; ++i) {
+    const auto name = "m" + std::to_string(i);
+    Hear(name, "a");
+    state.by_name[name].last.set_link_mbps(i % kFast == 0 ? 200 : 10);
+  }
+  const auto relays = fleet::Relays(state, settings, now);
+  BOOST_TEST(relays.size() == settings.relays);
+  for (const auto* each : relays) {
+    BOOST_TEST(each->last.link_mbps() == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(relays_themselves_agree_on_who_they_are) {
+  constexpr int kEntries = 60;
+  for (int i = 0; i < kEntries; ++i) {
+    const auto name = "m" + std::to_string(i);
+    Hear(name, "a");
+    state.by_name[name].last.set_link_mbps(i % 2 == 0 ? 200 : 10);
+    state.by_name[name].last.set_store_followed(true);
+  }
+  std::set<std::string> relays;
+  for (const auto* each : fleet::Relays(state, settings, now)) {
+    relays.insert(each->last.name());
+  }
+  for (const auto& [name, found] : state.by_name) {
+    auto others = state;
+    others.by_name.erase(name);
+    const fleet::self_place place{name, "a", 0, found.last.link_mbps()};
+    BOOST_TEST(fleet::FollowsStore(others, settings, place, now) ==
+               relays.contains(name));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(silent_relay_is_replaced_by_the_next) {
   for (int i = 1; i < 30; ++i) {
     Hear("m" + std::to_string(i), "a");
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -53,6 +53,16 @@
                    {"tenants", {{{"name", "parish"}, {"api_keys", {key}}}}}});
 }
 
+/** The same with so many routes more. */
+std::string LargeManifest(int version, const std::string& key, int routes) {
+  auto out = json::parse(Manifest(version, key)).as_object();
+  for (int i = 0; i < routes; ++i) {
+    out["routes"].as_array().push_back(
+        Route("/more-" + std::to_string(i) + "/", "safe", 2, false));
+  }
+  return json::serialize(out);
+}
+
 /** One entry, a store and two upstreams. */
 struct one_entry {
   using answer = mimosadeck::platform_test::scripted_answer;
@@ -66,6 +76,7 @@
   std::string callers;
   std::string ready;
   std::string directory;
+  std::string control;
 
   one_entry() {
     store.Put("op", "config", Manifest(1, "k1"));
@@ -107,6 +118,7 @@
     callers = json::value_to<std::string>(line.at("callers"));
     ready = json::value_to<std::string>(line.at("ready"));
     directory = json::value_to<std::string>(line.at("directory"));
+    control = json::value_to<std::string>(line.at("control"));
   }
 
   asio::awaitable<void> Exchange(std::string address,
@@ -452,6 +464,24 @@
   BOOST_TEST(Call("/safe/x", "k1").status == 401);
 }
 
+BOOST_AUTO_TEST_CASE(entry_is_told_only_what_changed_in_a_large_manifest) {
+  constexpr int kRoutes = 1500;
+  constexpr std::size_t kSmall = 1000;
+  const auto whole = LargeManifest(2, "k1", kRoutes);
+  store.Put("op", "config", whole);
+  BOOST_TEST(Eventually([this] { return Call("/more-7/x").status == 200; }));
+  store.Put("op", "config", LargeManifest(3, "k2", kRoutes));
+  BOOST_TEST(
+      Eventually([this] { return Call("/more-7/x", "k2").status == 200; }));
+  const auto since_first = Ask(control, "/manifest?since=0");
+  BOOST_TEST(since_first.status == 200);
+  BOOST_TEST(since_first.body.size() < whole.size() / 4);
+  const auto since_second = Ask(control, "/manifest?since=2");
+  BOOST_TEST(since_second.status == 200);
+  BOOST_TEST(since_second.body.size() < kSmall);
+  BOOST_TEST(!since_second.body.empty());
+}
+
 BOOST_AUTO_TEST_CASE(draining_upstream_gets_no_new_work) {
   store.Put("servers", "u1", first.Entry("draining"));
   io.restart();
