Do not follow steps of the calendar clock; hear members whose clock was set back

And by reading the code: a process that starts after its clock was set back has a lower incarnation, so its digests were dropped until its member was forgotten after two minutes.

Ruled out: counts lost with killed entries, which are below a tenth of a window.

Change: fleet::disciplined_clock follows slow changes at once and steps after they have lasted a minute; digests tell it, windows are by it and the median. An older incarnation is taken once the newer one was silent for two seconds.

Tests that failed first: fleet_test member_restarted_after_its_clock_was_set_back..., relayed_record_of_such_a_member...; steps_of_clocks tests the new clock.

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -93,7 +93,7 @@
   options_.renew_interval = options_.term / internal::kRenewalsPerTerm;
   // A former process on this VM may have acted until just now.
   quiet_until_ = state.started_at + options_.term;
-  first_window_ = metering::WindowAt(std::chrono::system_clock::now(),
+  first_window_ = metering::WindowAt(FleetTime(state_),
                                      state.machine.bounds.billing_window);
 }
 
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -168,7 +168,7 @@
       AddPeer(told.peer_address());
     }
     fleet::OnSummary(state_.members, std::move(summary), state_.machine.name,
-                     std::chrono::system_clock::now(), SuspendAwareNow());
+                     LocalTime(state_), SuspendAwareNow());
   }
 }
 
@@ -202,7 +202,7 @@
   const auto name = received.name();
   const bool is_new = !state_.members.by_name.contains(name);
   fleet::OnDigest(state_.members, std::move(received), sender,
-                  std::chrono::system_clock::now(), now);
+                  LocalTime(state_), now);
   if (is_new) {
     telemetry::Log(telemetry::level::info, "entry_heard",
                    {{"entry", name}, {"address", sender}});
@@ -221,7 +221,7 @@
   out.set_ready(IsReady(state_));
   out.set_leaving(state_.draining_since.has_value());
   out.set_wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
-                      std::chrono::system_clock::now().time_since_epoch())
+                      LocalTime(state_).time_since_epoch())
                       .count());
   out.set_link_mbps(state_.machine.link_mbps);
   out.set_manifest_version(state_.table ? state_.table->Version() : 0);
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -53,10 +53,15 @@
   return state.table && state.registry_fresh_at && !state.draining_since;
 }
 
-wall_time FleetTime(const edge_state& state) {
-  return std::chrono::system_clock::now() +
-         fleet::ClockCorrection(state.members, state.fleet_options,
-                                SuspendAwareNow());
+wall_time LocalTime(edge_state& state) {
+  return fleet::Read(state.clock, state.clock_options,
+                     std::chrono::system_clock::now(), SuspendAwareNow());
+}
+
+wall_time FleetTime(edge_state& state) {
+  return LocalTime(state) + fleet::ClockCorrection(state.members,
+                                                   state.fleet_options,
+                                                   SuspendAwareNow());
 }
 
 std::string SourceName(const std::string& name, std::uint64_t incarnation) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -61,6 +61,8 @@
 
   fleet::members members;
   fleet::options fleet_options;
+  fleet::disciplined_clock clock;
+  fleet::clock_options clock_options;
   metering::tally tally;
   lease::contender lease;
 
@@ -71,8 +73,11 @@
 /** @brief Tells whether callers can be served. */
 [[nodiscard]] bool IsReady(const edge_state& state);
 
+/** @brief Returns this entry's calendar time, without steps of its clock. */
+[[nodiscard]] wall_time LocalTime(edge_state& state);
+
 /** @brief Returns the calendar time, corrected by the other entries' clocks. */
-[[nodiscard]] wall_time FleetTime(const edge_state& state);
+[[nodiscard]] wall_time FleetTime(edge_state& state);
 
 /** @brief Names this process among the sources of billing counts. */
 [[nodiscard]] std::string SourceName(const std::string& name,
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -16,6 +16,23 @@
                                             : a.sequence() <= b.sequence();
 }
 
+/**
+ * Tells whether a record was overtaken by what is known of its member.
+ *
+ * Incarnations are times of start, so one that began after its clock was set
+ * back looks older than the one before it. It is taken once nothing of that one
+ * can be under way.
+ */
+bool IsOvertaken(const wire::digest& received,
+                 const member& known,
+                 mono_time heard_at) {
+  if (known.peer_address.empty() || !IsOlder(received, known.last)) {
+    return false;
+  }
+  return received.incarnation() == known.last.incarnation() ||
+         heard_at - known.heard_at <= kDatagramLife;
+}
+
 /** Spreads the bits of a hash anew (multiplication by the golden ratio). */
 std::uint64_t Scatter(std::uint64_t value) {
   constexpr std::uint64_t kGoldenRatio = 0x9e3779b97f4a7c15ULL;
@@ -127,7 +144,7 @@
               wall_time wall,
               mono_time now) {
   auto& slot = state.by_name[received.name()];
-  if (!slot.peer_address.empty() && internal::IsOlder(received, slot.last)) {
+  if (internal::IsOvertaken(received, slot, now)) {
     return false;
   }
   internal::CarryOver(received, slot.last);
@@ -156,9 +173,10 @@
     }
     auto& slot = state.by_name[told.record().name()];
     const std::chrono::milliseconds age(told.age_ms());
+    const bool is_overtaken =
+        internal::IsOvertaken(told.record(), slot, now - age);
     slot.heard_at = std::max(slot.heard_at, now - age);
-    if (!slot.peer_address.empty() &&
-        internal::IsOlder(told.record(), slot.last)) {
+    if (is_overtaken) {
       continue;
     }
     slot.clock_ahead =
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "fleet/clock.h"
 #include "fleet/fwd.h"
 #include "fleet/work_table.h"
 #include "wire/digest.pb.h"
@@ -45,6 +46,9 @@
   std::chrono::milliseconds forgotten_after{120000};
 };
 
+/** @brief No datagram is under way for longer. */
+inline constexpr std::chrono::milliseconds kDatagramLife{2000};
+
 /** @brief Another entry, as its last digest describes it. */
 struct member {
   wire::digest last;
--- a/src/fleet/fwd.h
+++ b/src/fleet/fwd.h
@@ -3,6 +3,8 @@
 
 namespace mimosadeck::fleet {
 
+struct clock_options;
+struct disciplined_clock;
 struct member;
 struct members;
 struct options;
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -67,6 +67,29 @@
   BOOST_TEST(state.by_name["b"].last.incarnation() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(member_restarted_after_its_clock_was_set_back_is_heard) {
+  Hear("b", "a", 0ms, 1000);
+  Hear("b", "a", 0ms, 400);
+  BOOST_TEST(state.by_name["b"].last.incarnation() == 1000);
+  now += fleet::kDatagramLife + 1ms;
+  Hear("b", "a", 0ms, 400);
+  BOOST_TEST(state.by_name["b"].last.incarnation() == 400);
+  BOOST_TEST(fleet::Live(state, settings, now).size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(relayed_record_of_such_a_member_is_taken) {
+  Hear("b", "a", 0ms, 1000);
+  now += fleet::kDatagramLife + 1ms;
+  wire::summary told;
+  auto& record = *told.add_members();
+  record.mutable_record()->set_name("b");
+  record.mutable_record()->set_incarnation(400);
+  record.mutable_record()->set_sequence(1);
+  record.set_peer_address("b:2");
+  fleet::OnSummary(state, told, "self", wall, now);
+  BOOST_TEST(state.by_name["b"].last.incarnation() == 400);
+}
+
 BOOST_AUTO_TEST_CASE(member_silent_for_long_is_forgotten) {
   Hear("b", "a");
   now += settings.forgotten_after + 1ms;
@@ -342,6 +365,57 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** An entry's calendar clock, read ten times a second. */
+struct one_clock {
+  fleet::disciplined_clock clock;
+  fleet::clock_options settings;
+  mono_time now{100s};
+  wall_time machine{std::chrono::hours(1000)};
+  wall_time right{machine};
+
+  /** @return How far the reading is ahead of the right time. */
+  std::chrono::milliseconds ReadAfter(std::chrono::milliseconds time) {
+    wall_time read;
+    for (auto left = time; left > 0ms; left -= 100ms) {
+      now += 100ms;
+      machine += 100ms;
+      right += 100ms;
+      read = fleet::Read(clock, settings, machine, now);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(read - right);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(steps_of_clocks, one_clock)
+
+BOOST_AUTO_TEST_CASE(step_and_its_return_change_nothing) {
+  BOOST_TEST((ReadAfter(1s) == 0ms));
+  machine += 3s;
+  BOOST_TEST((ReadAfter(8s) == 0ms));
+  machine -= 3s;
+  BOOST_TEST((ReadAfter(1s) == 0ms));
+  machine -= 1h;
+  BOOST_TEST((ReadAfter(8s) == 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(slewed_clock_is_followed) {
+  ReadAfter(1s);
+  for (int i = 0; i < 50; ++i) {
+    machine += 10ms;
+    ReadAfter(1s);
+  }
+  BOOST_TEST((ReadAfter(100ms) == 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(correction_that_lasts_is_followed) {
+  ReadAfter(1s);
+  machine += 1h;
+  BOOST_TEST((ReadAfter(settings.followed_after - 1s) == 0ms));
+  BOOST_TEST((ReadAfter(2s) == 1h));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(contention, some_members)
 
 /** A holder cut off from the others would report its own counts as the whole
