Keep billing counts at more entries; let those that have them contend first

Ruled out: ranking restarted entries behind all others by one threshold: while entries are stopped in turn most are recent, and the order among these is again by name (window missing as before).

Tests that failed first: fleet_test entries_that_kept_their_counts..., every_entry_of_a_small_fleet_keeps...

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -107,8 +107,7 @@
          !fleet::IsLeaseHeldElsewhere(state_.members, state_.fleet_options,
                                       now) &&
          fleet::ContentionRank(state_.members, state_.fleet_options,
-                               state_.machine.name,
-                               now) < internal::kContenders;
+                               PlaceOf(state_, 0), now) < internal::kContenders;
 }
 
 bool duties::MayAct() const {
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -17,8 +17,6 @@
 namespace internal {
 namespace {
 
-/** Contenders for the lease that get the billing counts beside its holder. */
-constexpr std::size_t kCountTakers = 2;
 /** Suspects are told for so long after their last crash. */
 constexpr std::chrono::milliseconds kSuspectNews{5000};
 /** Windows that a digest covers: the present one and those not yet due. */
@@ -255,8 +253,7 @@
   }
   std::set<std::string> takers;
   if (is_full) {
-    for (const auto* each : fleet::CountTakers(state_.members, options,
-                                               internal::kCountTakers, now)) {
+    for (const auto* each : fleet::CountTakers(state_.members, options, now)) {
       takers.insert(each->peer_address);
     }
   }
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -46,6 +46,9 @@
   quarantine_options.crashes_alone = internal::kCrashesToCondemn;
   quarantine_options.crashes_in_all = internal::kCrashesToCondemn;
   quarantine_options.forget_after = internal::kSuspectMemory;
+  fleet_options.billing_window = this->machine.bounds.billing_window;
+  fleet_options.settled_after =
+      this->machine.bounds.billing_window + this->machine.bounds.billing_due;
   lease.self = SourceName(this->machine.name, incarnation);
 }
 
@@ -113,7 +116,9 @@
 
 fleet::self_place PlaceOf(const edge_state& state, std::uint64_t failures) {
   return {state.machine.name, state.machine.data_centre, failures,
-          state.machine.link_mbps};
+          state.machine.link_mbps,
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              SuspendAwareNow() - state.started_at)};
 }
 
 bool FollowsStore(const edge_state& state) {
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -136,7 +136,7 @@
   const bool watches =
       !fleet::IsDense(state.members, state.fleet_options) ||
       fleet::ContentionRank(state.members, state.fleet_options,
-                            state.machine.name, SuspendAwareNow()) < kWatchers;
+                            PlaceOf(state, 0), SuspendAwareNow()) < kWatchers;
   return watches ? state.machine.bounds.contact / kWaitsInContact : kLongWait;
 }
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -47,6 +47,25 @@
   return {std::numeric_limits<std::uint32_t>::max() - link_mbps, Hash64(name)};
 }
 
+/** Orders members as contenders for the lease: the most windows run through
+ * first, equal ones by name. */
+std::pair<std::int64_t, std::uint64_t> ContenderRank(
+    std::string_view name,
+    std::chrono::milliseconds age,
+    const options& settings) {
+  const auto counted = std::min(age, settings.settled_after);
+  const auto window =
+      std::max(settings.billing_window, std::chrono::milliseconds(1));
+  return {-(counted / window), Hash64(name)};
+}
+
+std::pair<std::int64_t, std::uint64_t> ContenderRank(const wire::digest& of,
+                                                     const options& settings) {
+  const std::chrono::milliseconds age(
+      of.wall_ms() - static_cast<std::int64_t>(of.incarnation()));
+  return ContenderRank(of.name(), age, settings);
+}
+
 /** A relay's summary tells its own versions sooner than its record does. */
 void TakeVersions(members& state, const wire::summary& told) {
   const auto found = state.by_name.find(told.relay());
@@ -428,13 +447,16 @@
 
 std::vector<const member*> CountTakers(const members& state,
                                        const options& settings,
-                                       std::size_t most,
                                        mono_time now) {
   auto live = Live(state, settings, now);
-  std::sort(live.begin(), live.end(), [](const auto* a, const auto* b) {
-    return Hash64(a->last.name()) < Hash64(b->last.name());
-  });
+  std::sort(live.begin(), live.end(),
+            [&settings](const auto* a, const auto* b) {
+              return internal::ContenderRank(a->last, settings) <
+                     internal::ContenderRank(b->last, settings);
+            });
   std::vector<const member*> out;
+  const auto most =
+      IsDense(state, settings) ? live.size() : settings.count_takers;
   for (const auto* each : live) {
     const bool contends = each->last.ready() && out.size() < most;
     if (contends || each->last.fencing() > 0) {
@@ -446,16 +468,16 @@
 
 std::size_t ContentionRank(const members& state,
                            const options& settings,
-                           std::string_view self,
+                           const self_place& self,
                            mono_time now) {
-  const auto own = Hash64(self);
-  std::size_t before = 0;
-  for (const auto* each : Live(state, settings, now)) {
-    if (each->last.ready() && Hash64(each->last.name()) < own) {
-      ++before;
-    }
-  }
-  return before;
+  const auto own = internal::ContenderRank(self.name, self.age, settings);
+  const auto live = Live(state, settings, now);
+  const auto before =
+      std::count_if(live.begin(), live.end(), [&](const auto* each) {
+        return each->last.ready() &&
+               internal::ContenderRank(each->last, settings) < own;
+      });
+  return static_cast<std::size_t>(before);
 }
 
 }  // namespace mimosadeck::fleet
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -42,6 +42,16 @@
   /** Members heard within this time count when an entry judges whether it is
    * cut off from most. */
   std::chrono::milliseconds remembered_for{15000};
+  /** Entries that started later lack billing counts of windows that are still
+   * to be reported: two windows of five seconds and five to report them. */
+  std::chrono::milliseconds settled_after{15000};
+  /** Until then, each window of this length that an entry ran through counts.
+   */
+  std::chrono::milliseconds billing_window{5000};
+  /** Contenders for the lease that keep billing counts in a large fleet. Beside
+   * the holder, so that the loss of a third of all entries takes all copies
+   * once in two hundred times. */
+  std::size_t count_takers{4};
   /** A silent member's address is no longer sent digests. */
   std::chrono::milliseconds forgotten_after{120000};
 };
@@ -131,6 +141,8 @@
   /** Calls to other members that failed; each leads to another choice. */
   std::uint64_t failures{};
   std::uint32_t link_mbps{};
+  /** Time since its process started. */
+  std::chrono::milliseconds age{};
 };
 
 /**
@@ -252,22 +264,23 @@
                                         mono_time now);
 
 /**
- * @brief Returns the members that act on billing counts: who holds the lease
- * and those who contend for it next.
- * @param most Most contenders.
+ * @brief Returns the members that keep billing counts: in a small fleet all,
+ * else who holds the lease and those who contend for it next.
  */
 [[nodiscard]] std::vector<const member*> CountTakers(const members& state,
                                                      const options& settings,
-                                                     std::size_t most,
                                                      mono_time now);
 
 /**
  * @brief Returns this entry's place among the live ones in the order in which
  * they contend for the lease.
+ *
+ * Entries that ran through fewer windows come later: they lack the billing
+ * counts of windows that are still to be reported.
  */
 [[nodiscard]] std::size_t ContentionRank(const members& state,
                                          const options& settings,
-                                         std::string_view self,
+                                         const self_place& self,
                                          mono_time now);
 
 }  // namespace mimosadeck::fleet
