Count running requests only after idle connections are closed in a planned stop

Its log: stop_began at 48.511 s, stopped at 51.598 s with requests_cut_off 0, and no line of r811. The count was taken first, then idle connections were closed, then the entry took its row out of the store; a request read between the first two was passed on and cut when the process ended.

Ruled out: the end of the grace (5 s there), and faults of the link, the upstream or the process, none of which began or ended within contact time.

Change: http_server::Drain closes idle connections, waits until everything that was read is answered and only then returns the count; nothing suspends between it and the end but the row's removal, which runs meanwhile and no longer delays the stop beyond the grace.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -225,10 +225,17 @@
                                         callers_->ActiveExchanges() > 0)) {
       co_await Sleep(kStopPoll);
     }
-    const auto cut_off = callers_->ActiveExchanges();
-    callers_->StopAccepting();
     gossip_.Announce();
-    co_await gossip_.Unregister();
+    bool is_unregistered = false;
+    asio::co_spawn(
+        io_, gossip_.Unregister(),
+        [&is_unregistered](std::exception_ptr) { is_unregistered = true; });
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        last - SuspendAwareNow());
+    const auto cut_off = co_await callers_->Drain(left);
+    while (!is_unregistered && SuspendAwareNow() < last) {
+      co_await Sleep(kStopPoll);
+    }
     state_.stopping = true;
     telemetry::Log(telemetry::level::info, "stopped",
                    {{"requests_cut_off", std::to_string(cut_off)}});
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -41,6 +41,8 @@
 constexpr std::size_t kReadAheadStepBytes = 4096;
 constexpr std::size_t kDiscardBytes = 64U * 1024U;
 constexpr std::chrono::milliseconds kDiscardTime{2000};
+/** Interval at which a drain counts what is left. */
+constexpr std::chrono::milliseconds kDrainPoll{10};
 
 std::string LowerCase(std::string_view text) {
   std::string out(text);
@@ -486,6 +488,21 @@
   }
 }
 
+asio::awaitable<std::size_t> http_server::Drain(
+    std::chrono::milliseconds longest) {
+  const auto self = impl_;
+  StopAccepting();
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  const auto last = std::chrono::steady_clock::now() + longest;
+  // A request may have been read before its connection was found idle, so the
+  // count is taken only after each connection's turn.
+  do {
+    timer.expires_after(internal::kDrainPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+  } while (self->active > 0 && std::chrono::steady_clock::now() < last);
+  co_return self->active.load();
+}
+
 std::size_t http_server::ActiveExchanges() const {
   return impl_->active;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -102,6 +102,19 @@
   /** @brief Takes no more connections and closes those that are idle. */
   void StopAccepting();
 
+  /**
+   * @brief Takes no more connections and waits until every request that was
+   * read is answered.
+   *
+   * Once it returns, no further request is read, so that the process may end
+   * without cutting one off.
+   *
+   * @param longest Most time to wait.
+   * @return Requests that are still being answered then.
+   */
+  [[nodiscard]] boost::asio::awaitable<std::size_t> Drain(
+      std::chrono::milliseconds longest);
+
   /** @brief Returns the number of requests being answered. */
   [[nodiscard]] std::size_t ActiveExchanges() const;
 
