--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -24,7 +24,8 @@
 }
 export -f run
 {
-  grep -v '^#' soak/seeds.txt | cut -d'|' -f1
+  # A blank at the end of a line would join it to the next one in xargs.
+  grep -v '^#' soak/seeds.txt | cut -d'|' -f1 | sed 's/ *$//'
   for ((i = 0; i < fresh; ++i)); do
     echo "$((first + i)) $minutes $processes"
   done
