Keep the calls of two holders apart by time where targets check no numbers

Cause: a holder could start a call until the last moment of its term, and a call may take two seconds to its target (connecting and lost packets included); a successor may act one second after the term. Where the platform takes any fencing number, the late call then arrives behind the successor's. Ruled out: a later takeover (it leaves duties vacant longer) and a check at the socket (a freeze can still follow it).

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -91,8 +91,8 @@
   options_.term = state.machine.bounds.lease;
   options_.margin = internal::kTakeoverMargin;
   options_.renew_interval = options_.term / internal::kRenewalsPerTerm;
-  // A former process on this VM may have acted until just now.
-  quiet_until_ = state.started_at + options_.term;
+  acting_options_.rest = options_.term + platform::kCallTimeout;
+  guard_ = lease::StartGuard(acting_options_, state.started_at);
   first_window_ = metering::WindowAt(FleetTime(state_),
                                      state.machine.bounds.billing_window);
 }
@@ -111,9 +111,8 @@
 }
 
 bool duties::MayAct() const {
-  const auto now = SuspendAwareNow();
-  return now >= quiet_until_ && !is_cut_off_ &&
-         lease::IsHeld(state_.lease, now);
+  return !is_cut_off_ && lease::MayAct(guard_, acting_options_, state_.lease,
+                                       SuspendAwareNow());
 }
 
 void duties::StepDown(std::string_view reason) {
@@ -123,7 +122,7 @@
   const auto self = state_.lease.self;
   state_.lease = lease::contender{};
   state_.lease.self = self;
-  quiet_until_ = SuspendAwareNow() + options_.term;
+  guard_ = lease::StartGuard(acting_options_, SuspendAwareNow());
 }
 
 void duties::Release() {
@@ -174,18 +173,19 @@
   const auto reply = co_await state_.platform.Send(*std::move(request));
   const auto now = SuspendAwareNow();
   lease::OnReply(state_.lease, options_, reply, now);
-  const bool held = lease::IsHeld(state_.lease, now);
-  if (held && !was_held_) {
-    telemetry::Log(telemetry::level::info, "lease_taken",
-                   {{"fencing", std::to_string(state_.lease.fencing)}});
-  }
-  if (!held && was_held_) {
-    telemetry::Log(telemetry::level::warning, "lease_lost",
-                   {{"fencing", std::to_string(state_.lease.fencing)},
-                    {"reason", "not renewed in time"}});
-    quiet_until_ = now + options_.term;
+  switch (lease::ObserveLease(guard_, acting_options_, state_.lease, now)) {
+    case lease::holding_change::none:
+      break;
+    case lease::holding_change::taken:
+      telemetry::Log(telemetry::level::info, "lease_taken",
+                     {{"fencing", std::to_string(state_.lease.fencing)}});
+      break;
+    case lease::holding_change::lost:
+      telemetry::Log(telemetry::level::warning, "lease_lost",
+                     {{"fencing", std::to_string(state_.lease.fencing)},
+                      {"reason", "not renewed in time"}});
+      break;
   }
-  was_held_ = held;
 }
 
 asio::awaitable<void> duties::ReportDueWindows() {
--- a/apps/mimosadeckd/edge/duties.h
+++ b/apps/mimosadeckd/edge/duties.h
@@ -49,8 +49,8 @@
   /** Windows whose rows this process wrote and has not removed. */
   std::deque<metering::window_number> frozen_;
   metering::window_number first_window_{};
-  mono_time quiet_until_;
-  bool was_held_{};
+  lease::acting_options acting_options_;
+  lease::acting_guard guard_;
   /** The lease is being given up, since most other entries are not heard. */
   bool is_cut_off_{};
 };
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -1,5 +1,7 @@
 #include "lease/lease.h"
 
+#include <utility>
+
 #include <boost/json.hpp>
 
 namespace mimosadeck::lease {
@@ -178,6 +180,30 @@
   return state.stopped;
 }
 
+acting_guard StartGuard(const acting_options& settings, mono_time now) {
+  return {now + settings.rest, false};
+}
+
+holding_change ObserveLease(acting_guard& state,
+                            const acting_options& settings,
+                            const contender& lease,
+                            mono_time now) {
+  const bool is_held = IsHeld(lease, now);
+  const bool was_held = std::exchange(state.was_held, is_held);
+  if (was_held && !is_held) {
+    state.resting_until = now + settings.rest;
+    return holding_change::lost;
+  }
+  return is_held && !was_held ? holding_change::taken : holding_change::none;
+}
+
+bool MayAct(const acting_guard& state,
+            const acting_options& settings,
+            const contender& lease,
+            mono_time now) {
+  return now >= state.resting_until && IsHeld(lease, now + settings.reserve);
+}
+
 std::string RowKey(std::string_view name) {
   return std::string("lease/").append(name);
 }
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -120,6 +120,53 @@
 /** @brief Tells whether a release, once asked for, is complete. */
 [[nodiscard]] bool IsReleased(const contender& state);
 
+/** @brief Settings of acting for the whole fleet under a lease. */
+struct acting_options {
+  /**
+   * End of the term in which no call is started. With the margin before a
+   * takeover it covers the longest way of a call, its timeout of two seconds:
+   * none arrives after a successor's.
+   */
+  std::chrono::milliseconds reserve{1000};
+  /**
+   * A holder that lost the lease does not act again for so long: the term, and
+   * the longest way of its last call.
+   */
+  std::chrono::milliseconds rest{5000};
+};
+
+/**
+ * @brief Decides when a contender may call targets that do not check fencing
+ * numbers.
+ *
+ * Such targets take a former holder's late call for the newest, so that time
+ * alone must keep the calls of two holders apart.
+ */
+struct acting_guard {
+  /** A former process on this VM may have acted until it started. */
+  mono_time resting_until;
+  bool was_held{};
+};
+
+/** @brief Returns the guard of a process that starts now. */
+[[nodiscard]] acting_guard StartGuard(const acting_options& settings,
+                                      mono_time now);
+
+/** @brief What has changed since the lease was looked at last. */
+enum class holding_change { none, taken, lost };
+
+/** @brief Takes note of the lease's state; call it after each change. */
+holding_change ObserveLease(acting_guard& state,
+                            const acting_options& settings,
+                            const contender& lease,
+                            mono_time now);
+
+/** @brief Tells whether a call may be started now; ask directly before it. */
+[[nodiscard]] bool MayAct(const acting_guard& state,
+                          const acting_options& settings,
+                          const contender& lease,
+                          mono_time now);
+
 /** @brief Returns the key of a lease's row. */
 [[nodiscard]] std::string RowKey(std::string_view name);
 
