Give no work to upstreams that say they leave or ask for a pause

Leaving upstreams are told in full digests while the registry still lists them, so that a restarted entry learns of them while the store is away. A caller that every upstream turns away learns the earliest return, spread over a quarter of the wait.

Ruled out: sending one probe in the pause (the rule allows two; none is needed, since the end is known), telling other entries of 421 (one spoiled answer would close a sound upstream everywhere), and passing Server-Leaving on to callers.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -5,6 +5,8 @@
 
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/upstream_signs.h"
+
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
@@ -59,7 +61,7 @@
             co_await call_.Send(std::move(request), std::move(options))) {
       co_return Failure(*failed);
     }
-    auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
+    auto answer = TakeHead();
     for (int i = 0;
          !answer.request_id.empty() && answer.request_id != work_->asked.id &&
          i < kMostStrayAnswers;
@@ -67,7 +69,7 @@
       if (auto failed = co_await call_.SkipToNext()) {
         co_return Failure(*failed);
       }
-      answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
+      answer = TakeHead();
     }
     if (!answer.request_id.empty() && answer.request_id != work_->asked.id) {
       co_return attempt_failure{attempt_end::broke_off, false,
@@ -84,6 +86,19 @@
     auto outcome = co_await TakeWhole(answer);
     co_return outcome;
   }
+  platform::upstream_answer TakeHead() {
+    auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
+    TakeSigns(state_, ticket_, answer);
+    return answer;
+  }
+
+  /** An answer without an id can only be trusted where no earlier request used
+   * the connection. */
+  [[nodiscard]] bool IsStray(const platform::upstream_answer& answer) const {
+    return answer.request_id.empty() ? !call_.IsFirstOnConnection()
+                                     : answer.request_id != work_->asked.id;
+  }
+
 
   asio::awaitable<attempt_result> TakeWhole(platform::upstream_answer answer) {
     auto body = co_await call_.ReadBody(kMostAnswerBytes);
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -15,6 +15,10 @@
 /** Retry-After when no upstream can be reached: registrations and connections
  * come back within about this time. */
 constexpr std::chrono::milliseconds kNoUpstreamPause{400};
+/** Callers that wait for the same upstream come back spread over this part of
+ * their wait (one in so many), in so many places. */
+constexpr std::int64_t kSpreadPart = 4;
+constexpr std::uint64_t kPlaces = 64;
 
 std::string_view NameOf(attempt_end end) {
   switch (end) {
@@ -65,12 +69,29 @@
                           EntryCount(state), SuspendAwareNow());
 }
 
-refusal RefusalFor(const work& work, next_step step) {
+/** @brief Returns when a refused caller should come back. */
+std::chrono::milliseconds ComeBackAfter(const edge_state& state,
+                                        const work& work) {
+  const auto pool = state.pools.find(work.service);
+  if (pool == state.pools.end()) {
+    return kNoUpstreamPause;
+  }
+  const auto opens_in =
+      placement::TimeToReopen(pool->second, SuspendAwareNow());
+  if (!opens_in) {
+    return kNoUpstreamPause;
+  }
+  const auto place = static_cast<std::int64_t>(work.job.sampling_key % kPlaces);
+  return *opens_in + *opens_in * place / (kSpreadPart * kPlaces);
+}
+
+refusal RefusalFor(const edge_state& state, const work& work, next_step step) {
   if (steady::now() >= work.deadline) {
     return {result_code::deadline_passed, executed::unknown, {}, ""};
   }
   if (step == next_step::refuse_not_run) {
-    return {result_code::no_upstream, executed::no, kNoUpstreamPause, ""};
+    return {result_code::no_upstream, executed::no, ComeBackAfter(state, work),
+            ""};
   }
   return {result_code::upstream_failed, executed::unknown, {}, ""};
 }
@@ -100,7 +121,7 @@
     LogEnd(state, *work, status, "upstream_failed");
     co_return;
   }
-  auto reason = RefusalFor(*work, step);
+  auto reason = RefusalFor(state, *work, step);
   co_await Refuse(state, *work, std::move(reason), exchange);
 }
 
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/upstream_signs.h"
 #include "net/address.h"
 
 namespace mimosadeck::edge {
@@ -170,6 +171,9 @@
   }
 }
 
+    for (const auto& upstream : summary.leaving_upstreams()) {
+      TakeLeaving(state_, upstream, summary.relay());
+    }
 void gossip::TakeSuspect(const wire::suspect& told) {
   quarantine::suspect known;
   known.crashes = {told.crashes().begin(), told.crashes().end()};
@@ -206,6 +210,9 @@
                    {{"entry", name}, {"address", sender}});
   }
 }
+  for (const auto& upstream : received.leaving_upstreams()) {
+    TakeLeaving(state_, upstream, name);
+  }
 
 wire::digest gossip::MakeDigest() {
   wire::digest out;
@@ -271,6 +278,9 @@
       plain.mutable_digest()->add_known_peers(member.peer_address);
     }
   }
+    for (auto& upstream : LeavingToTell(state_)) {
+      plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
+    }
   auto with_counts = plain;
   internal::FillCounts(state_, *with_counts.mutable_digest());
   with_counts.mutable_digest()->set_wants_summary(false);
@@ -367,6 +377,7 @@
   add(own, own_address_, std::chrono::milliseconds(0));
   for (const auto& [name, found] : state_.members.by_name) {
     if (fleet::IsLive(state_.members, found, state_.fleet_options, now)) {
+    kept.clear_leaving_upstreams();
       add(found.last, found.peer_address,
           std::chrono::duration_cast<std::chrono::milliseconds>(
               now - found.heard_at));
@@ -392,6 +403,9 @@
   for (std::size_t i = 0; i < records.size(); ++i) {
     if (i % internal::kRecordsPerDatagram == 0) {
       out.emplace_back().mutable_summary()->set_relay(state_.machine.name);
+  for (auto& upstream : LeavingToTell(state_)) {
+    head.add_leaving_upstreams(std::move(upstream));
+  }
     }
     *out.back().mutable_summary()->add_members() = records[i];
   }
@@ -440,6 +454,7 @@
 }
 
 asio::awaitable<void> gossip::Register() {
+      ForgetGoneUpstreams(state_);
   const auto key = std::string(internal::kMemberPrefix) + state_.machine.ip;
   bool is_written = false;
   while (!state_.stopping && !is_written) {
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/upstream_signs.h"
+
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
@@ -81,9 +83,14 @@
     pool.cache_tokens = service.engine ? service.engine->cache_tokens : 0;
     pool.tightest_pause = state.table->TightestPauseGoal(service.name)
                               .value_or(std::chrono::milliseconds(0));
-    placement::SetUpstreams(pool,
-                            registry::Usable(state.upstreams, service.name));
+    auto usable = registry::Usable(state.upstreams, service.name);
+    std::erase_if(usable, [&state](const auto& entry) {
+      return availability::IsLeaving(state.availability,
+                                     registry::IncarnationOf(*entry));
+    });
+    placement::SetUpstreams(pool, usable);
   }
+  ApplyAvailability(state);
 }
 
 void RefreshOthersLoad(edge_state& state) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -10,6 +10,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "availability/availability.h"
 #include "base/base.h"
 #include "fleet/fleet.h"
 #include "lease/lease.h"
@@ -55,6 +56,8 @@
 
   std::map<std::string, placement::pool, std::less<>> pools;
   placement::options placement_options;
+  availability::book availability;
+  availability::options availability_options;
   std::map<std::string, retry::budget, std::less<>> budgets;
   quarantine::ward ward;
   quarantine::options quarantine_options;
--- /dev/null
+++ b/apps/mimosadeckd/edge/upstream_signs.h
@@ -0,0 +1,32 @@
+#ifndef APPS_MIMOSADECKD_EDGE_UPSTREAM_SIGNS_H_
+#define APPS_MIMOSADECKD_EDGE_UPSTREAM_SIGNS_H_
+
+#include <string>
+
+#include "mimosadeckd/edge/state.h"
+#include "wire/digest.pb.h"
+
+namespace mimosadeck::edge {
+
+/** @brief Takes what the head of an answer says of its upstream. */
+void TakeSigns(edge_state& state,
+               const placement::ticket& from,
+               const platform::upstream_answer& answer);
+
+/** @brief Takes the leaving upstreams that another entry tells of. */
+void TakeLeaving(edge_state& state,
+                 const std::string& incarnation,
+                 std::string_view origin);
+
+/** @brief Returns the leaving upstreams that other entries may not know of. */
+[[nodiscard]] std::vector<std::string> LeavingToTell(const edge_state& state);
+
+/** @brief Applies what is known of the upstreams of all pools. */
+void ApplyAvailability(edge_state& state);
+
+/** @brief Forgets upstreams that are gone. */
+void ForgetGoneUpstreams(edge_state& state);
+
+}  // namespace mimosadeck::edge
+
+#endif  // APPS_MIMOSADECKD_EDGE_UPSTREAM_SIGNS_H_
--- /dev/null
+++ b/src/availability/fwd.h
@@ -0,0 +1,13 @@
+#ifndef AVAILABILITY_FWD_H_
+#define AVAILABILITY_FWD_H_
+
+namespace mimosadeck::availability {
+
+enum class sign;
+struct book;
+struct options;
+struct record;
+
+}  // namespace mimosadeck::availability
+
+#endif  // AVAILABILITY_FWD_H_
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -210,6 +210,7 @@
     return;
   }
   received.clear_suspects();
+  received.clear_leaving_upstreams();
   state.work = fleet_work{std::move(received), now};
 }
 
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -222,7 +222,7 @@
 void SetUpstreams(
     pool& state,
     const std::vector<std::shared_ptr<const registry::upstream>>& usable) {
-  std::map<std::string, candidate> next;
+  std::map<std::string, candidate, std::less<>> next;
   for (const auto& entry : usable) {
     auto name = registry::IncarnationOf(*entry);
     const auto known = state.candidates.find(name);
@@ -236,6 +236,30 @@
   state.candidates = std::move(next);
 }
 
+void SetAvailability(pool& state,
+                     std::string_view incarnation,
+                     mono_time closed_until,
+                     mono_time avoided_until) {
+  const auto found = state.candidates.find(incarnation);
+  if (found != state.candidates.end()) {
+    found->second.closed_until = closed_until;
+    found->second.avoided_until = avoided_until;
+  }
+}
+
+std::optional<std::chrono::milliseconds> TimeToReopen(const pool& state,
+                                                      mono_time now) {
+  std::optional<mono_time> earliest;
+  for (const auto& [name, found] : state.candidates) {
+    earliest =
+        std::min(earliest.value_or(found.closed_until), found.closed_until);
+  }
+  if (!earliest || *earliest <= now) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(*earliest - now);
+}
+
 void SetOthers(pool& state,
                const std::map<std::string, load>& by_incarnation,
                const demand& wanted) {
@@ -270,6 +294,9 @@
   bool beside_long = false;
   for (std::size_t i = 0; i < all.size(); ++i) {
     const auto& at = *all[i];
+    if (now < at.closed_until) {
+      continue;
+    }
     if (!excluded.empty() &&
         excluded.contains(registry::IncarnationOf(*at.entry))) {
       continue;
@@ -284,7 +311,8 @@
       found.cost += internal::kOtherPatternPart *
                     static_cast<double>(wanted.goal.count());
     }
-    const bool ejected = outlier::IsEjected(at.health, now);
+    const bool ejected =
+        outlier::IsEjected(at.health, now) || now < at.avoided_until;
     const bool sampled =
         &at == home || internal::IsSampled(at, settings, wanted, group.size());
     const auto rank = std::tuple(ejected, !sampled, found.cost);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -98,6 +99,10 @@
   std::unordered_map<std::uint64_t, mono_time> parts;
   /** Mean time to serve a request of a plain service. */
   double service_ms{20};
+  /** It takes no work before this time. */
+  mono_time closed_until;
+  /** Others are preferred before this time. */
+  mono_time avoided_until;
 };
 
 /** @brief The upstreams of one service and what this entry learned of them. */
@@ -108,7 +113,7 @@
   /** Tightest pause goal among the service's streams; zero if none. */
   std::chrono::milliseconds tightest_pause{};
   /** By incarnation. */
-  std::map<std::string, candidate> candidates;
+  std::map<std::string, candidate, std::less<>> candidates;
   read_time reading;
   demand own_demand;
   demand others_demand;
@@ -136,6 +141,20 @@
     pool& state,
     const std::vector<std::shared_ptr<const registry::upstream>>& usable);
 
+/** @brief Keeps work from an upstream for a while, or prefers others. */
+void SetAvailability(pool& state,
+                     std::string_view incarnation,
+                     mono_time closed_until,
+                     mono_time avoided_until);
+
+/**
+ * @brief Returns how long it takes until an upstream takes work again.
+ * @return Nothing if one does now, or if there is none.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds> TimeToReopen(
+    const pool& state,
+    mono_time now);
+
 /** @brief Replaces what other entries tell of their work. */
 void SetOthers(pool& state,
                const std::map<std::string, load>& by_incarnation,
@@ -151,7 +170,7 @@
  *
  * @param data_centre Where this entry runs.
  * @param excluded Incarnations that were tried before.
- * @return Nothing if no upstream is left.
+ * @return Nothing if no upstream is left that takes work.
  */
 [[nodiscard]] std::optional<ticket> Choose(
     const pool& state,
--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -236,6 +236,39 @@
   BOOST_TEST(!placement::Choose(pool, settings, Chat(1), "a", tried, now));
 }
 
+BOOST_AUTO_TEST_CASE(engine_that_wants_no_work_gets_none_until_its_time) {
+  const auto before = Send(Draft(1));
+  placement::SetAvailability(pool, before.incarnation, now + 2s, {});
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST(Send(Draft(1)).incarnation != before.incarnation);
+  }
+  BOOST_TEST(!placement::TimeToReopen(pool, now));
+}
+
+BOOST_AUTO_TEST_CASE(engines_that_all_want_no_work_get_none) {
+  auto pause = 2s;
+  for (const auto& [name, found] : pool.candidates) {
+    placement::SetAvailability(pool, name, now + pause++, {});
+  }
+  BOOST_TEST(!placement::Choose(pool, settings, Draft(1), "a", {}, now));
+  BOOST_TEST((placement::TimeToReopen(pool, now) == 2s));
+  now += 2s;
+  BOOST_TEST(
+      placement::Choose(pool, settings, Draft(1), "a", {}, now).has_value());
+  BOOST_TEST(!placement::TimeToReopen(pool, now));
+}
+
+BOOST_AUTO_TEST_CASE(avoided_engine_is_used_only_if_all_are) {
+  const auto before = Send(Draft(1));
+  placement::SetAvailability(pool, before.incarnation, {}, now + 1s);
+  BOOST_TEST(Send(Draft(1)).incarnation != before.incarnation);
+  for (const auto& [name, found] : pool.candidates) {
+    placement::SetAvailability(pool, name, {}, now + 1s);
+  }
+  BOOST_TEST(
+      placement::Choose(pool, settings, Draft(1), "a", {}, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(restarted_engine_starts_with_nothing_known_of_it) {
   const auto sent = Send(Chat(1));
   registry::upstream again = *sent.entry;
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -219,6 +219,43 @@
   BOOST_TEST(fields.contains("x-server-stamp"));
 }
 
+BOOST_AUTO_TEST_CASE(
+    leaving_upstream_is_told_by_its_answer_and_hidden_from_callers) {
+  const net::http_fields leaving{{"server-leaving", "1"},
+                                 {"connection", "Close"}};
+  const auto answer = platform::DecodeAnswer(200, leaving);
+  BOOST_TEST(answer.is_leaving);
+  BOOST_TEST(answer.closes_connection);
+  BOOST_TEST(platform::FieldsForCaller(leaving).empty());
+  for (const auto* other : {"0", "", "yes"}) {
+    BOOST_TEST(
+        !platform::DecodeAnswer(200, {{"server-leaving", other}}).is_leaving);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(upstream_at_a_reused_address_is_told) {
+  BOOST_TEST(platform::DecodeAnswer(421, {}).is_other_upstream);
+  BOOST_TEST(!platform::DecodeAnswer(503, {}).is_other_upstream);
+}
+
+BOOST_AUTO_TEST_CASE(pause_that_an_upstream_asks_for_is_read) {
+  const auto pause = [](int status, const std::string& text) {
+    return platform::DecodeAnswer(status, {{"retry-after", text}}).pause;
+  };
+  BOOST_TEST((pause(503, "2") == 2000ms));
+  BOOST_TEST((pause(503, " 0.0004 ") == 1ms));
+  BOOST_TEST((pause(503, "1.5") == 1500ms));
+  BOOST_TEST((pause(503, "99999999999999999999") == 24h));
+  for (const auto* unreadable : {"", "-1", "soon", "1 2", "nan", "inf", "1e9",
+                                 "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    BOOST_TEST_CONTEXT(unreadable) {
+      BOOST_TEST(!pause(503, unreadable));
+    }
+  }
+  BOOST_TEST(!pause(429, "2"));
+  BOOST_TEST(!pause(200, "2"));
+}
+
 BOOST_AUTO_TEST_CASE(time_to_come_back_is_written_in_seconds_with_fractions) {
   BOOST_TEST(platform::EncodeRetryAfter(1050ms) == "1.050");
   BOOST_TEST(platform::EncodeRetryAfter(5ms) == "0.005");
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPause{5};
-constexpr std::chrono::milliseconds kSlowPause{150};
+constexpr std::chrono::milliseconds kTricklePause{50};
+/** Whole events of a stalled stream. */
+constexpr int kStalledAfter = 2;
 /** The event inside which a broken stream ends, and its bytes that leave. */
 constexpr int kBrokenEvent = 4;
 constexpr std::size_t kBrokenBytes = 7;
@@ -23,7 +25,8 @@
 bool IsStream(scripted_answer answer) {
   return answer == scripted_answer::stream ||
          answer == scripted_answer::broken_stream ||
-         answer == scripted_answer::slow_stream;
+         answer == scripted_answer::slow_stream ||
+         answer == scripted_answer::stalled_stream;
 }
 
 net::http_response NotRun(int status, net::http_fields fields) {
@@ -82,7 +85,14 @@
 asio::awaitable<void> upstream_stand_in::Answer(net::http_request request,
                                                 net::exchange& exchange) {
   const std::string request_id(net::FieldOf(request.fields, "x-request-id"));
-  net::http_fields fields{{"x-request-id", request_id}};
+  net::http_fields fields;
+  if (!hides_request_id) {
+    fields["x-request-id"] = request_id;
+  }
+  if (leaving) {
+    fields["server-leaving"] = "1";
+  }
+  ++arrivals;
   const auto expected = net::FieldOf(request.fields, "x-expect-instance");
   if (!expected.empty() && expected != id_) {
     auto refused = NotRun(kWrongUpstream, std::move(fields));
@@ -92,6 +102,9 @@
   const auto answer = choose ? choose(request) : next;
   if (answer == scripted_answer::not_run) {
     auto refused = NotRun(503, std::move(fields));
+    if (!refusal_pause.empty()) {
+      refused.fields["retry-after"] = refusal_pause;
+    }
     co_await exchange.Respond(std::move(refused));
     co_return;
   }
@@ -128,20 +141,32 @@
   co_await exchange.Respond(std::move(response));
 }
 
+asio::awaitable<void> upstream_stand_in::Trickle(std::shared_ptr<bool> gone,
+                                                 net::exchange& exchange) {
+  while (!*gone) {
+    std::string byte("d");
+    co_await exchange.WriteChunk(std::move(byte));
+    co_await Wait(kTricklePause);
+  }
+}
+
 asio::awaitable<void> upstream_stand_in::Stream(upstream_run run,
                                                 net::http_fields fields,
                                                 net::exchange& exchange) {
   const auto gone = std::make_shared<bool>(false);
   exchange.WatchCaller([this, gone] { caller_left = *gone = true; });
-  const auto request_id = fields["x-request-id"];
+  const std::string request_id(
+      net::FieldOf(run.request.fields, "x-request-id"));
   fields["content-type"] = "text/event-stream";
   co_await exchange.BeginStream(200, std::move(fields));
   const auto after = net::FieldOf(run.request.fields, "last-event-id");
   const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
   const bool breaks =
       run.answer == scripted_answer::broken_stream && first == 1;
+  const bool stalls =
+      run.answer == scripted_answer::stalled_stream && first == 1;
   const auto pause =
-      run.answer == scripted_answer::slow_stream ? kSlowPause : kPause;
+      run.answer == scripted_answer::slow_stream ? slow_pause : kPause;
   for (int i = first; i <= kStreamEvents && !*gone; ++i) {
     auto event = StreamEvent(request_id, i);
     if (breaks && i == kBrokenEvent) {
@@ -150,6 +175,10 @@
       exchange.CutOff();
       co_return;
     }
+    if (stalls && i > kStalledAfter) {
+      co_await Trickle(gone, exchange);
+      co_return;
+    }
     co_await exchange.WriteChunk(std::move(event));
     co_await Wait(pause);
   }
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -29,6 +29,8 @@
   /** Breaks off inside the fourth event, unless it goes on after one. */
   broken_stream,
   slow_stream,
+  /** Sends two events, then a byte now and then of one that never ends. */
+  stalled_stream,
 };
 
 /** @brief A request that an upstream ran. */
@@ -76,6 +78,16 @@
   std::function<void(const upstream_run&)> on_run;
   /** Time that an answer other than a stream takes. */
   std::chrono::milliseconds work_time{0};
+  /** Time between the events of a slow stream. */
+  std::chrono::milliseconds slow_pause{150};
+  /** Every answer says that the upstream leaves. */
+  bool leaving{};
+  /** Refusals ask for this pause, in seconds; empty for none. */
+  std::string refusal_pause;
+  /** Answers do not say to which request they belong. */
+  bool hides_request_id{};
+  /** Requests that arrived, run or not. */
+  int arrivals{};
   std::vector<upstream_run> runs;
   bool caller_left{};
   /** Address under which it registers, if that is not its own. */
@@ -85,6 +97,8 @@
  private:
   boost::asio::awaitable<void> Answer(net::http_request request,
                                       net::exchange& exchange);
+  static boost::asio::awaitable<void> Trickle(std::shared_ptr<bool> gone,
+                                              net::exchange& exchange);
   boost::asio::awaitable<void> Stream(upstream_run run,
                                       net::http_fields fields,
                                       net::exchange& exchange);
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -525,6 +525,87 @@
 
 BOOST_AUTO_TEST_CASE(changed_settings_cut_nothing) {
   SetAnswers(answer::slow_stream);
+BOOST_AUTO_TEST_CASE(upstream_that_says_it_leaves_gets_no_new_work) {
+  store.fault = mimosadeck::platform_test::store_fault::reset;
+  first.leaving = true;
+  while (first.arrivals == 0) {
+    BOOST_TEST(Call("/safe/x").status == 200);
+  }
+  for (int i = 0; i < 10; ++i) {
+    const auto got = Call("/unsafe/x");
+    BOOST_TEST(got.status == 200);
+    BOOST_TEST(!got.fields.contains("server-leaving"));
+  }
+  BOOST_TEST(first.arrivals == 1);
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_an_upstream_that_leaves_goes_on) {
+  first.leaving = second.leaving = true;
+  SetAnswers(answer::slow_stream);
+  const auto got = Call("/once/x");
+  BOOST_TEST(got.whole);
+  BOOST_TEST(got.body == WholeStream(LastId()));
+}
+
+BOOST_AUTO_TEST_CASE(next_incarnation_of_an_upstream_that_left_gets_work) {
+  first.leaving = second.leaving = true;
+  BOOST_TEST(Eventually([this] { return Call("/safe/x").status == 503; }));
+  first.leaving = false;
+  first.Become("u1");
+  store.Put("servers", "u1", first.Entry("ready"));
+  BOOST_TEST(Eventually([this] { return Call("/safe/x").status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(refusal_that_says_the_upstream_leaves_counts) {
+  first.leaving = second.leaving = true;
+  SetAnswers(answer::not_run);
+  BOOST_TEST(Call("/unsafe/x").status == 503);
+  BOOST_TEST(Call("/unsafe/x").status == 503);
+  BOOST_TEST(first.arrivals == 1);
+  BOOST_TEST(second.arrivals == 1);
+}
+
+BOOST_AUTO_TEST_CASE(upstream_that_wants_a_pause_gets_one) {
+  first.refusal_pause = "1.5";
+  first.next = answer::not_run;
+  while (first.arrivals == 0) {
+    BOOST_TEST(Call("/safe/x").status == 200);
+  }
+  const auto until = std::chrono::steady_clock::now() + 1400ms;
+  while (std::chrono::steady_clock::now() < until) {
+    BOOST_TEST(Call("/unsafe/x").status == 200);
+  }
+  BOOST_TEST(first.arrivals == 1);
+  first.next = answer::good;
+  second.next = answer::not_run;
+  BOOST_TEST(Eventually([this] { return Call("/safe/x").status == 200; }));
+  BOOST_TEST(first.arrivals == 2);
+}
+
+BOOST_AUTO_TEST_CASE(caller_learns_when_the_first_upstream_takes_work_again) {
+  first.refusal_pause = "30";
+  second.refusal_pause = "3";
+  SetAnswers(answer::not_run);
+  BOOST_TEST(Call("/unsafe/x").status == 503);
+  const auto got = Call("/unsafe/x");
+  BOOST_TEST(got.status == 503);
+  const auto wait = std::stod(got.fields.at("retry-after"));
+  BOOST_TEST(wait > 2.5);
+  BOOST_TEST(wait < 4);
+  BOOST_TEST(first.arrivals + second.arrivals == 2);
+}
+
+BOOST_AUTO_TEST_CASE(answer_without_an_id_on_a_used_connection_is_not_trusted) {
+  store.Drop("servers", "u2");
+  BOOST_TEST(Eventually([this] {
+    return Ask(control, "/upstreams?since=0").body.find("u2") ==
+           std::string::npos;
+  }));
+  BOOST_TEST(Call("/safe/x").status == 200);
+  first.hides_request_id = true;
+  BOOST_TEST(Call("/unsafe/x").status == 502);
+}
+
   net::http_response response;
   bool whole = false;
   bool done = false;
