Bound stalled streams by whole events; trust no answer without an id on a used connection

A stream that sends a byte now and then but completes no event ran to its time limit: one that may resume now goes on at another upstream once its callers' patience (two seconds, four goals or eight pauses) has passed without an event; one that may not ends at its time limit, since silence is no reason to end it sooner. A slow stream with steady events is not cut. An answer that names no request was taken on any connection; a late second copy could then be another caller's. It is now trusted only where no earlier request used the connection.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -63,15 +63,14 @@
     }
     auto answer = TakeHead();
     for (int i = 0;
-         !answer.request_id.empty() && answer.request_id != work_->asked.id &&
-         i < kMostStrayAnswers;
+         IsStray(answer) && !answer.request_id.empty() && i < kMostStrayAnswers;
          ++i) {
       if (auto failed = co_await call_.SkipToNext()) {
         co_return Failure(*failed);
       }
       answer = TakeHead();
     }
-    if (!answer.request_id.empty() && answer.request_id != work_->asked.id) {
+    if (IsStray(answer)) {
       co_return attempt_failure{attempt_end::broke_off, false,
                                 "answer of another request", std::nullopt};
     }
@@ -86,6 +85,7 @@
     auto outcome = co_await TakeWhole(answer);
     co_return outcome;
   }
+
   platform::upstream_answer TakeHead() {
     auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
     TakeSigns(state_, ticket_, answer);
@@ -99,7 +99,6 @@
                                      : answer.request_id != work_->asked.id;
   }
 
-
   asio::awaitable<attempt_result> TakeWhole(platform::upstream_answer answer) {
     auto body = co_await call_.ReadBody(kMostAnswerBytes);
     if (const auto* failed = std::get_if<net::call_failure>(&body)) {
@@ -130,6 +129,7 @@
   }
 
   asio::awaitable<attempt_result> PassStreamOn() {
+    ExpectEvent();
     while (true) {
       auto piece = co_await call_.ReadPiece();
       if (const auto* failed = std::get_if<net::call_failure>(&piece)) {
@@ -146,6 +146,7 @@
       }
       OnBegun();
       NotePause();
+      ExpectEvent();
       const bool taken = co_await PassOn(std::move(whole));
       if (!taken) {
         call_.Close();
@@ -175,6 +176,12 @@
     co_return written;
   }
 
+  void ExpectEvent() {
+    if (const auto stall = forwarding::LongestStall(*work_->route)) {
+      call_.SetDeadline(std::min(work_->deadline, steady::now() + *stall));
+    }
+  }
+
   void NotePause() {
     const auto now = steady::now();
     if (work_->progress.answer_begun) {
--- a/src/forwarding/forwarding.cc
+++ b/src/forwarding/forwarding.cc
@@ -1,9 +1,17 @@
 #include "forwarding/forwarding.h"
 
+#include <algorithm>
+
 namespace mimosadeck::forwarding {
 namespace internal {
 namespace {
 
+/** Callers abandon a stream after the longest of these (the platform's page of
+ * the protocol): this time, so many goals, so many pauses. */
+constexpr std::chrono::milliseconds kShortestPatience{2000};
+constexpr int kGoalsWaited = 4;
+constexpr int kPausesWaited = 8;
+
 void Note(progress& state, attempt_end ended) {
   switch (ended) {
     case attempt_end::not_connected:
@@ -39,6 +47,17 @@
   return false;
 }
 
+std::optional<std::chrono::milliseconds> LongestStall(
+    const routing::route& route) {
+  if (route.kind != routing::request_kind::stream || !route.resumable) {
+    return std::nullopt;
+  }
+  const auto pause = route.pause_goal.value_or(std::chrono::milliseconds(0));
+  return std::max({internal::kShortestPatience,
+                   internal::kGoalsWaited * route.goal,
+                   internal::kPausesWaited * pause});
+}
+
 bool MayRepeat(const progress& state,
                const options& settings,
                const routing::route& route,
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -1,6 +1,9 @@
 #ifndef FORWARDING_FORWARDING_H_
 #define FORWARDING_FORWARDING_H_
 
+#include <chrono>
+#include <optional>
+
 #include "forwarding/fwd.h"
 #include "routing/routing.h"
 
@@ -55,6 +58,19 @@
 /** @brief Tells whether a request of a route may run more than once. */
 [[nodiscard]] bool IsRepeatable(const routing::route& route);
 
+/**
+ * @brief Returns the time within which a stream must bring its next whole
+ * event, or it goes on at another upstream.
+ *
+ * Callers abandon a stream after this time. Bytes that complete no event do not
+ * count.
+ *
+ * @return Nothing if the stream cannot go on elsewhere: silence alone does not
+ * end it before its time limit.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds> LongestStall(
+    const routing::route& route);
+
 /**
  * @brief Tells whether an attempt that ended so may be followed by another.
  *
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -40,6 +40,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   steady::time_point idle_since;
+  /** Responses whose head was read. */
+  std::uint64_t responses{};
   /** Idle time after which the server may close it. */
   std::optional<std::chrono::milliseconds> server_idle_limit;
 };
@@ -175,6 +177,7 @@
   http_fields fields;
   call_options options;
   bool is_closed{};
+  bool is_first{};
 
   asio::awaitable<std::optional<call_failure>> Connect() {
     line = cache->Take(options.server, options.longest_idle);
@@ -217,6 +220,7 @@
       }
     } while (parser->get().result_int() < 200);
     fields = internal::FieldsOf(parser->get());
+    is_first = line->responses++ == 0;
     co_return std::nullopt;
   }
 
@@ -290,6 +294,10 @@
   return impl_->fields;
 }
 
+bool http_call::IsFirstOnConnection() const {
+  return impl_->is_first;
+}
+
 asio::awaitable<http_call::piece> http_call::ReadPiece() {
   const auto self = impl_;
   if (!self->line) {
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -83,6 +83,9 @@
   [[nodiscard]] int Status() const;
   [[nodiscard]] const http_fields& Fields() const;
 
+  /** @brief Tells whether the response is the first one on its connection. */
+  [[nodiscard]] bool IsFirstOnConnection() const;
+
   /** @brief A piece of the body; empty at its end. */
   using piece = std::variant<std::string, call_failure>;
 
--- a/test/forwarding/forwarding_test.cc
+++ b/test/forwarding/forwarding_test.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+using namespace std::chrono_literals;
 namespace forwarding = mimosadeck::forwarding;
 namespace routing = mimosadeck::routing;
 using forwarding::attempt_end;
@@ -32,6 +33,27 @@
   }
 };
 
+BOOST_AUTO_TEST_SUITE(stalls)
+
+BOOST_AUTO_TEST_CASE(stream_that_can_resume_stalls_after_its_callers_patience) {
+  auto route = MakeRoute(request_kind::stream, true, 2);
+  route.goal = 300ms;
+  BOOST_TEST((forwarding::LongestStall(route) == 2000ms));
+  route.pause_goal = 400ms;
+  BOOST_TEST((forwarding::LongestStall(route) == 3200ms));
+  route.goal = 1500ms;
+  BOOST_TEST((forwarding::LongestStall(route) == 6000ms));
+}
+
+BOOST_AUTO_TEST_CASE(silence_ends_nothing_that_cannot_go_on) {
+  BOOST_TEST(!forwarding::LongestStall(
+      MakeRoute(request_kind::stream, false, 1)));
+  BOOST_TEST(!forwarding::LongestStall(
+      MakeRoute(request_kind::idempotent, true, 2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(at_most_once, one_request)
 
 BOOST_AUTO_TEST_CASE(non_idempotent_request_that_broke_off_is_never_repeated) {
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -420,6 +420,38 @@
   BOOST_TEST(Runs() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(stream_that_brings_bytes_but_no_event_goes_on_elsewhere) {
+  SetAnswers(answer::stalled_stream);
+  const auto got = Call("/resume/x");
+  BOOST_TEST(got.whole);
+  BOOST_TEST(got.body == WholeStream(LastId()));
+  BOOST_TEST(Runs() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(stalled_stream_that_cannot_go_on_ends_at_its_time_limit) {
+  SetAnswers(answer::stalled_stream);
+  const auto began = std::chrono::steady_clock::now();
+  const auto got = Call("/once/x");
+  BOOST_TEST(!got.whole);
+  BOOST_TEST((std::chrono::steady_clock::now() - began >= 2400ms));
+  BOOST_TEST(
+      got.body.ends_with(mimosadeck::platform_test::StreamEvent(LastId(), 2)));
+  BOOST_TEST(Runs() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(slow_stream_with_steady_events_is_not_cut) {
+  first.slow_pause = second.slow_pause = 400ms;
+  SetAnswers(answer::slow_stream);
+  for (const auto* route : {"/resume/x", "/once/x"}) {
+    auto request = Request(route);
+    request.fields["x-request-deadline-ms"] = "2950";
+    const auto got = Send(callers, request);
+    BOOST_TEST(got.whole);
+    BOOST_TEST(got.body == WholeStream(LastId()));
+  }
+  BOOST_TEST(Runs() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(caller_that_leaves_frees_the_upstream) {
   SetAnswers(answer::slow_stream);
   {
@@ -493,38 +525,6 @@
   BOOST_TEST(first.runs.empty());
 }
 
-BOOST_AUTO_TEST_CASE(store_out_of_reach_stops_no_traffic) {
-  store.fault = mimosadeck::platform_test::store_fault::reset;
-  io.restart();
-  io.run_for(1s);
-  BOOST_TEST(Call("/unsafe/x").status == 200);
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_FIXTURE_TEST_SUITE(stopping, one_entry)
-
-BOOST_AUTO_TEST_CASE(planned_stop_cuts_no_stream_and_takes_the_entry_out) {
-  SetAnswers(answer::slow_stream);
-  net::http_response response;
-  bool whole = false;
-  bool done = false;
-  auto work = Exchange(callers, Request("/once/x"), response, whole);
-  asio::co_spawn(io, std::move(work),
-                 [&done](std::exception_ptr) { done = true; });
-  BOOST_REQUIRE(Eventually([this] { return Runs() == 1; }));
-  entry->Signal(SIGTERM);
-  BOOST_TEST(
-      Eventually([this] { return Ask(ready, "/v1/ready").status == 503; }));
-  BOOST_TEST(Ask(directory, "/v1/resolve?name=h&zone=a").status == 503);
-  BOOST_TEST(Eventually([&] { return done; }));
-  BOOST_TEST(whole);
-  BOOST_TEST(response.body == WholeStream(LastId()));
-  BOOST_TEST(Eventually([this] { return !entry->IsRunning(); }));
-}
-
-BOOST_AUTO_TEST_CASE(changed_settings_cut_nothing) {
-  SetAnswers(answer::slow_stream);
 BOOST_AUTO_TEST_CASE(upstream_that_says_it_leaves_gets_no_new_work) {
   store.fault = mimosadeck::platform_test::store_fault::reset;
   first.leaving = true;
@@ -606,6 +606,38 @@
   BOOST_TEST(Call("/unsafe/x").status == 502);
 }
 
+BOOST_AUTO_TEST_CASE(store_out_of_reach_stops_no_traffic) {
+  store.fault = mimosadeck::platform_test::store_fault::reset;
+  io.restart();
+  io.run_for(1s);
+  BOOST_TEST(Call("/unsafe/x").status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(stopping, one_entry)
+
+BOOST_AUTO_TEST_CASE(planned_stop_cuts_no_stream_and_takes_the_entry_out) {
+  SetAnswers(answer::slow_stream);
+  net::http_response response;
+  bool whole = false;
+  bool done = false;
+  auto work = Exchange(callers, Request("/once/x"), response, whole);
+  asio::co_spawn(io, std::move(work),
+                 [&done](std::exception_ptr) { done = true; });
+  BOOST_REQUIRE(Eventually([this] { return Runs() == 1; }));
+  entry->Signal(SIGTERM);
+  BOOST_TEST(
+      Eventually([this] { return Ask(ready, "/v1/ready").status == 503; }));
+  BOOST_TEST(Ask(directory, "/v1/resolve?name=h&zone=a").status == 503);
+  BOOST_TEST(Eventually([&] { return done; }));
+  BOOST_TEST(whole);
+  BOOST_TEST(response.body == WholeStream(LastId()));
+  BOOST_TEST(Eventually([this] { return !entry->IsRunning(); }));
+}
+
+BOOST_AUTO_TEST_CASE(changed_settings_cut_nothing) {
+  SetAnswers(answer::slow_stream);
   net::http_response response;
   bool whole = false;
   bool done = false;
