Ask the store less often: copy entries only when they change, try an outage by turns

Cause: upstreams write their entries anew each heartbeat, so every call for changes was answered at once: each relay asked four times a second, and each rewritten entry counted as news that every entry copied.

Now a registry tells the version that last changed something; two of those that follow the store ask it each 250 ms, the others at two fifths of the contact time (each still sees an outage for itself, which the grace after it needs); four entries by turns try a store that answers no relay, and one that is answered goes on; one entry in eight of a large fleet reads the list of members. Ruled out: only two followers (a backup would not notice the outage and drop lapsed entries at once).

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -38,6 +38,14 @@
 constexpr std::uint64_t kDigestsPerTrial = 7;
 constexpr std::chrono::milliseconds kPeerMemory{120000};
 constexpr std::chrono::milliseconds kRegisterPause{500};
+/** A seed that runs answers within this time. */
+constexpr std::chrono::milliseconds kSeedHeardIn{300};
+/** Relays tell a new entry of the others within this time. */
+constexpr std::chrono::milliseconds kFleetHeardIn{1500};
+constexpr std::chrono::milliseconds kHearPoll{100};
+/** In a large fleet one entry in so many reads the list of all entries, which
+ * joins groups that do not hear each other; all reading it would be a storm. */
+constexpr std::uint64_t kScanners = 8;
 constexpr std::uint32_t kRowsPerScan = 500;
 constexpr std::string_view kMemberPrefix = "member/";
 
@@ -163,6 +171,9 @@
     for (const auto& told : summary.suspects()) {
       TakeSuspect(told);
     }
+    for (const auto& upstream : summary.leaving_upstreams()) {
+      TakeLeaving(state_, upstream, summary.relay());
+    }
     for (const auto& told : summary.members()) {
       AddPeer(told.peer_address());
     }
@@ -171,9 +182,6 @@
   }
 }
 
-    for (const auto& upstream : summary.leaving_upstreams()) {
-      TakeLeaving(state_, upstream, summary.relay());
-    }
 void gossip::TakeSuspect(const wire::suspect& told) {
   quarantine::suspect known;
   known.crashes = {told.crashes().begin(), told.crashes().end()};
@@ -202,6 +210,9 @@
     TakeSuspect(told);
   }
   const auto name = received.name();
+  for (const auto& upstream : received.leaving_upstreams()) {
+    TakeLeaving(state_, upstream, name);
+  }
   const bool is_new = !state_.members.by_name.contains(name);
   fleet::OnDigest(state_.members, std::move(received), sender,
                   LocalTime(state_), now);
@@ -210,9 +221,6 @@
                    {{"entry", name}, {"address", sender}});
   }
 }
-  for (const auto& upstream : received.leaving_upstreams()) {
-    TakeLeaving(state_, upstream, name);
-  }
 
 wire::digest gossip::MakeDigest() {
   wire::digest out;
@@ -234,7 +242,7 @@
   out.set_members_known(
       static_cast<std::uint32_t>(state_.members.by_name.size()));
   out.set_store_followed(state_.store_followed);
-  out.set_registry_version(state_.upstreams.version);
+  out.set_registry_version(state_.upstreams.changed_version);
   internal::FillWork(state_, out);
   return out;
 }
@@ -270,6 +278,9 @@
       !fleet::IsDense(state_.members, options));
   if (is_full) {
     internal::FillSuspects(state_, *plain.mutable_digest());
+    for (auto& upstream : LeavingToTell(state_)) {
+      plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
+    }
     std::size_t left = internal::kMostPeersTold;
     for (const auto& [name, member] : state_.members.by_name) {
       if (left-- == 0) {
@@ -278,9 +289,6 @@
       plain.mutable_digest()->add_known_peers(member.peer_address);
     }
   }
-    for (auto& upstream : LeavingToTell(state_)) {
-      plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
-    }
   auto with_counts = plain;
   internal::FillCounts(state_, *with_counts.mutable_digest());
   with_counts.mutable_digest()->set_wants_summary(false);
@@ -369,6 +377,7 @@
     kept.clear_work();
     kept.clear_windows();
     kept.clear_suspects();
+    kept.clear_leaving_upstreams();
     kept.clear_known_peers();
     kept.clear_wants_summary();
     told.set_peer_address(address);
@@ -377,7 +386,6 @@
   add(own, own_address_, std::chrono::milliseconds(0));
   for (const auto& [name, found] : state_.members.by_name) {
     if (fleet::IsLive(state_.members, found, state_.fleet_options, now)) {
-    kept.clear_leaving_upstreams();
       add(found.last, found.peer_address,
           std::chrono::duration_cast<std::chrono::milliseconds>(
               now - found.heard_at));
@@ -395,6 +403,9 @@
   wire::digest suspects;
   internal::FillSuspects(state_, suspects);
   *head.mutable_suspects() = suspects.suspects();
+  for (auto& upstream : LeavingToTell(state_)) {
+    head.add_leaving_upstreams(std::move(upstream));
+  }
   for (const auto& each : heard) {
     auto& told = *head.add_heard();
     told.set_identity(fleet::IdentityOf(each.record()));
@@ -403,9 +414,6 @@
   for (std::size_t i = 0; i < records.size(); ++i) {
     if (i % internal::kRecordsPerDatagram == 0) {
       out.emplace_back().mutable_summary()->set_relay(state_.machine.name);
-  for (auto& upstream : LeavingToTell(state_)) {
-    head.add_leaving_upstreams(std::move(upstream));
-  }
     }
     *out.back().mutable_summary()->add_members() = records[i];
   }
@@ -446,6 +454,7 @@
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
+      ForgetGoneUpstreams(state_);
     }
     SendDigests(is_full);
     SendSummaries(is_full);
@@ -454,7 +463,6 @@
 }
 
 asio::awaitable<void> gossip::Register() {
-      ForgetGoneUpstreams(state_);
   const auto key = std::string(internal::kMemberPrefix) + state_.machine.ip;
   bool is_written = false;
   while (!state_.stopping && !is_written) {
@@ -467,6 +475,10 @@
       co_await Sleep(internal::kRegisterPause);
     }
   }
+  const bool is_known = co_await HearsLargeFleet();
+  if (is_known && Hash64(state_.machine.name) % internal::kScanners != 0) {
+    co_return;
+  }
   std::string after;
   while (!state_.stopping) {
     infra::request request = infra::scan_rows{
@@ -487,6 +499,20 @@
   }
 }
 
+asio::awaitable<bool> gossip::HearsLargeFleet() {
+  const auto began = SuspendAwareNow();
+  const auto& members = state_.members;
+  while (fleet::IsDense(members, state_.fleet_options)) {
+    const auto waited = SuspendAwareNow() - began;
+    if (waited >= internal::kFleetHeardIn ||
+        (members.by_name.empty() && waited >= internal::kSeedHeardIn)) {
+      co_return false;
+    }
+    co_await Sleep(internal::kHearPoll);
+  }
+  co_return true;
+}
+
 asio::awaitable<void> gossip::Unregister() {
   infra::commit own;
   own.writes.push_back(
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -35,6 +35,8 @@
   asio::awaitable<void> Receive();
   asio::awaitable<void> SendLoop();
   asio::awaitable<void> Register();
+  /** @brief Waits until a large fleet is heard. @return False if none is. */
+  asio::awaitable<bool> HearsLargeFleet();
   void Take(const std::string& bytes, const std::string& sender);
   void TakeDigest(wire::digest received, const std::string& sender);
   void TakeSuspect(const wire::suspect& told);
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -122,10 +122,13 @@
 }
 
 fleet::self_place PlaceOf(const edge_state& state) {
-  return {state.machine.name, state.machine.data_centre, 0,
+  return {state.machine.name,
+          state.machine.data_centre,
+          0,
           state.machine.link_mbps,
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              SuspendAwareNow() - state.started_at)};
+              SuspendAwareNow() - state.started_at),
+          state.store_followed};
 }
 
 bool FollowsStore(const edge_state& state) {
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -8,17 +8,23 @@
 namespace internal {
 namespace {
 
-/** Pause after the store refused or did not answer. */
+/** Pause after the store refused or did not answer, for the first entries that
+ * try it again. */
 constexpr std::chrono::milliseconds kStorePause{300};
+/** The same for the others, which hear from the first when it is back. */
+constexpr std::chrono::milliseconds kLongStorePause{1000};
 /** A lost answer of the store is missed within the time after which the agreed
  * bounds hold again. */
 constexpr int kWaitsInContact = 2;
-/** Entries that ask so often; others learn from them what they miss. */
-constexpr std::size_t kWatchers = 2;
-/** Wait of the other entries. */
+/** Wait of entries that do not watch the store: they learn from those that do
+ * what they miss. */
 constexpr std::chrono::milliseconds kLongWait{8000};
 /** Entries change in bursts: one call then brings them together. */
 constexpr std::chrono::milliseconds kGatherTime{250};
+/** Pause between two calls of an entry that does not watch the store, as a part
+ * of the time after which the agreed bounds hold again: it sees what leaves in
+ * time even if all watchers are lost. */
+constexpr double kBackupGatherPart = 0.4;
 /** Interval at which entries are compared. */
 constexpr std::chrono::milliseconds kCompareInterval{100};
 /** The store usually brings a new manifest within this time. */
@@ -131,13 +137,33 @@
   co_return std::get<std::string>(std::move(body));
 }
 
+bool WatchesStore(const edge_state& state) {
+  return fleet::WatchesStore(state.members, state.fleet_options, PlaceOf(state),
+                             SuspendAwareNow());
+}
+
+/** @brief Returns the pause before a store that did not answer is tried again.
+ */
+std::chrono::milliseconds StorePause(const edge_state& state) {
+  return fleet::TriesStoreFirst(state.members, state.fleet_options,
+                                PlaceOf(state), SuspendAwareNow())
+             ? kStorePause
+             : kLongStorePause;
+}
+
 /** @brief Returns how long the store may hold back an answer. */
 std::chrono::milliseconds FeedWait(const edge_state& state) {
-  const bool watches =
-      !fleet::IsDense(state.members, state.fleet_options) ||
-      fleet::ContentionRank(state.members, state.fleet_options, PlaceOf(state),
-                            SuspendAwareNow()) < kWatchers;
-  return watches ? state.machine.bounds.contact / kWaitsInContact : kLongWait;
+  return WatchesStore(state) ? state.machine.bounds.contact / kWaitsInContact
+                             : kLongWait;
+}
+
+/** @brief Returns the pause between two calls for changed upstreams. */
+std::chrono::milliseconds GatherTime(const edge_state& state) {
+  if (WatchesStore(state)) {
+    return kGatherTime;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      state.machine.bounds.contact * kBackupGatherPart);
 }
 
 /** @brief Finds an entry that knows a newer version than this one. */
@@ -212,6 +238,7 @@
   registry::update update;
   update.since = told.since();
   update.version = told.version();
+  update.changed_version = told.changed_version();
   for (const auto& each : told.entries()) {
     update.written.push_back(Decode(each));
   }
@@ -345,7 +372,7 @@
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_away>(&step)) {
       store.OnFailure(away->reason, now);
-      co_await Sleep(internal::kStorePause);
+      co_await Sleep(internal::StorePause(state));
       continue;
     }
     store.OnAnswer(now);
@@ -369,7 +396,7 @@
     if (const auto* away = std::get_if<platform::store_away>(&step)) {
       store.OnFailure(away->reason, now);
       state.store_followed = false;
-      co_await Sleep(internal::kStorePause);
+      co_await Sleep(internal::StorePause(state));
       continue;
     }
     if (store.OnAnswer(now)) {
@@ -391,7 +418,7 @@
     state.registry_fresh_at = now;
     state.store_followed = true;
     RefreshPools(state);
-    co_await Sleep(internal::kGatherTime);
+    co_await Sleep(internal::GatherTime(state));
   }
 }
 
@@ -449,6 +476,7 @@
   wire::upstream_registry out;
   out.set_since(changes.since);
   out.set_version(changes.version);
+  out.set_changed_version(changes.changed_version);
   for (const auto& each : changes.written) {
     *out.add_entries() = internal::Encode(each);
   }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -66,6 +66,20 @@
   return ContenderRank(of.name(), age, settings);
 }
 
+bool IsStoreFollowed(const member* of) {
+  return of->last.store_followed();
+}
+
+/** Entries draw their turns independently, since their clocks differ. */
+bool IsTurnToTry(std::string_view name,
+                 std::size_t fleet_size,
+                 const options& settings,
+                 mono_time now) {
+  const auto turn =
+      static_cast<std::uint64_t>(now.time_since_epoch() / settings.trial_turn);
+  return Scatter(Hash64(name) + turn) % fleet_size < settings.triers;
+}
+
 /** A relay's summary tells its own versions sooner than its record does. */
 void TakeVersions(members& state, const wire::summary& told) {
   const auto found = state.by_name.find(told.relay());
@@ -254,9 +268,42 @@
     return true;
   }
   const auto relays = Relays(state, settings, now);
-  return std::none_of(relays.begin(), relays.end(), [](const auto* each) {
-    return each->last.store_followed();
-  });
+  if (std::any_of(relays.begin(), relays.end(), internal::IsStoreFollowed)) {
+    return false;
+  }
+  const auto live = Live(state, settings, now);
+  return self.store_followed ||
+         (std::none_of(live.begin(), live.end(), internal::IsStoreFollowed) &&
+          internal::IsTurnToTry(self.name, live.size() + 1, settings, now));
+}
+
+bool TriesStoreFirst(const members& state,
+                     const options& settings,
+                     const self_place& self,
+                     mono_time now) {
+  const auto own = internal::RelayRank(self.name, self.link_mbps);
+  const auto live = Live(state, settings, now);
+  const auto before =
+      std::count_if(live.begin(), live.end(), [&own](const auto* each) {
+        return internal::RelayRank(each->last.name(), each->last.link_mbps()) <
+               own;
+      });
+  return static_cast<std::size_t>(before) < settings.watchers;
+}
+
+bool WatchesStore(const members& state,
+                  const options& settings,
+                  const self_place& self,
+                  mono_time now) {
+  const auto own = internal::RelayRank(self.name, self.link_mbps);
+  const auto live = Live(state, settings, now);
+  const auto before =
+      std::count_if(live.begin(), live.end(), [&own](const auto* each) {
+        return each->last.store_followed() &&
+               internal::RelayRank(each->last.name(), each->last.link_mbps()) <
+                   own;
+      });
+  return static_cast<std::size_t>(before) < settings.watchers;
 }
 
 const member* FindAhead(const members& state,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,6 +26,12 @@
   std::size_t dense_fleet{16};
   /** Relays in each data centre of a large fleet, so that one may fail. */
   std::size_t relays{2};
+  /** Entries that ask the store often; one may fail. */
+  std::size_t watchers{2};
+  /** Entries beside the relays that try a store which answers no relay. */
+  std::size_t triers{4};
+  /** Time after which others try. */
+  std::chrono::milliseconds trial_turn{1000};
   /** Beyond this size the interval grows with the fleet, so that a relay takes
    * the same number of digests a second. */
   std::size_t relayed_fleet{64};
@@ -144,20 +150,43 @@
   std::uint32_t link_mbps{};
   /** Time since its process started. */
   std::chrono::milliseconds age{};
+  /** It follows the store itself, and the store answers. */
+  bool store_followed{};
 };
 
 /**
  * @brief Tells whether this entry follows the platform's store itself.
  *
- * In a large fleet only the relays do, as long as one of them is heard that the
- * store answers; the others copy from them, so that the store's load does not
- * grow with the fleet.
+ * In a large fleet the relays do; the others copy from them, so that the
+ * store's load does not grow with the fleet. While the store answers none of
+ * those that are heard, a few of the others try it by turns, in case it turns
+ * only the relays away; one that is answered goes on until a relay is.
  */
 [[nodiscard]] bool FollowsStore(const members& state,
                                 const options& settings,
                                 const self_place& self,
                                 mono_time now);
 
+/**
+ * @brief Tells whether this entry is among the first that try a store which
+ * does not answer.
+ */
+[[nodiscard]] bool TriesStoreFirst(const members& state,
+                                   const options& settings,
+                                   const self_place& self,
+                                   mono_time now);
+
+/**
+ * @brief Tells whether an entry that follows the store asks it often.
+ *
+ * The others ask now and then, so that each sees for itself when the store is
+ * away, and copy in between what the watchers have seen.
+ */
+[[nodiscard]] bool WatchesStore(const members& state,
+                                const options& settings,
+                                const self_place& self,
+                                mono_time now);
+
 /** @brief A version that digests tell, such as that of the manifest. */
 using told_version = std::uint64_t (wire::digest::*)() const;
 
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -15,9 +15,14 @@
          std::uint64_t version,
          std::optional<mono_time> drop_at) {
   auto& slot = state.by_id[entry.id];
+  const bool is_same = slot.entry && *slot.entry == entry;
+  if (is_same && slot.drop_at == drop_at) {
+    return;
+  }
   slot.version = version;
   slot.drop_at = drop_at;
-  if (slot.entry && *slot.entry == entry) {
+  state.changed_version = std::max(state.changed_version, version);
+  if (is_same) {
     return;
   }
   slot.entry = std::make_shared<const upstream>(std::move(entry));
@@ -31,6 +36,7 @@
 void NoteRemoval(upstream_set& state,
                  const std::string& id,
                  std::uint64_t version) {
+  state.changed_version = std::max(state.changed_version, version);
   state.removals.emplace(version, id);
   while (state.removals.size() > kMostRemovals) {
     state.removals_forgotten = state.removals.begin()->first;
@@ -54,8 +60,9 @@
     NoteRemoval(state, id, version);
     return;
   }
-  found->second.version = version;
   if (!found->second.drop_at) {
+    found->second.version = version;
+    state.changed_version = std::max(state.changed_version, version);
     found->second.drop_at = *state.store_back_at + settings.return_grace;
   }
 }
@@ -93,6 +100,7 @@
   if (version < state.version) {
     return;
   }
+  const auto generation = state.generation;
   state.version = version;
   std::set<std::string, std::less<>> listed;
   for (auto& each : entries) {
@@ -113,6 +121,9 @@
   for (const auto& id : gone) {
     internal::OnGone(state, settings, id, version, now);
   }
+  if (state.generation != generation) {
+    state.changed_version = version;
+  }
 }
 
 update ChangesSince(const upstream_set& state,
@@ -120,6 +131,7 @@
                     mono_time now) {
   update out;
   out.version = state.version;
+  out.changed_version = state.changed_version;
   out.since = since >= state.removals_forgotten ? since : 0;
   for (const auto& [id, held] : state.by_id) {
     if (held.version <= out.since) {
@@ -170,6 +182,8 @@
     }
   }
   state.version = received.version;
+  state.changed_version =
+      std::max(state.changed_version, received.changed_version);
   return true;
 }
 
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -54,7 +54,8 @@
 /** @brief An upstream as the registry holds it. */
 struct registered {
   std::shared_ptr<const upstream> entry;
-  /** Version of its newest change. */
+  /** Version of its newest change of content; entries that are only written
+   * anew keep it. */
   std::uint64_t version{};
   /** The entry is gone; the upstream is dropped at this time. */
   std::optional<mono_time> drop_at;
@@ -70,6 +71,11 @@
   std::map<std::string, registered, std::less<>> by_id;
   /** Every change up to this version of the store is reflected. */
   std::uint64_t version{};
+  /**
+   * Version that last brought something new. Upstreams write their entries anew
+   * several times a minute; other processes need not copy that.
+   */
+  std::uint64_t changed_version{};
   /** Ids that are gone, by the version of their removal; the oldest are
    * forgotten. */
   std::multimap<std::uint64_t, std::string> removals;
@@ -120,6 +126,8 @@
   /** Version to which it applies; zero for a whole set. */
   std::uint64_t since{};
   std::uint64_t version{};
+  /** Version that last brought something new. */
+  std::uint64_t changed_version{};
   std::vector<copied> written;
   std::vector<std::string> gone;
 };
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -192,6 +192,48 @@
   CheckEqual();
 }
 
+BOOST_AUTO_TEST_CASE(entry_that_is_only_written_anew_is_not_copied) {
+  Follow();
+  const auto before = state.changed_version;
+  for (std::uint64_t version = 11; version < 50; ++version) {
+    Write(MakeUpstream("a"), version);
+  }
+  BOOST_TEST(state.version == 49);
+  BOOST_TEST(state.changed_version == before);
+  const auto update = registry::ChangesSince(state, follower.version, now);
+  BOOST_TEST(update.written.empty());
+}
+
+BOOST_AUTO_TEST_CASE(follower_is_current_once_it_has_the_last_change) {
+  Follow();
+  auto draining = MakeUpstream("a");
+  draining.draining = true;
+  Write(draining, 20);
+  Write(MakeUpstream("b"), 30);
+  BOOST_TEST(state.changed_version == 20);
+  BOOST_TEST(follower.version < state.changed_version);
+  Follow();
+  BOOST_TEST(follower.version >= state.changed_version);
+  BOOST_TEST(follower.changed_version == 20);
+  Remove("b", 40);
+  BOOST_TEST(state.changed_version == 40);
+  Follow();
+  CheckEqual();
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_lapses_and_returns_is_told_both_times) {
+  Follow();
+  registry::OnStoreBack(state, now);
+  Remove("a", 20);
+  BOOST_TEST(state.changed_version == 20);
+  Follow();
+  BOOST_TEST(follower.by_id.at("a").drop_at.has_value());
+  Write(MakeUpstream("a"), 30);
+  BOOST_TEST(state.changed_version == 30);
+  Follow();
+  BOOST_TEST(!follower.by_id.at("a").drop_at.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(update_that_is_not_newer_is_dropped) {
   Follow();
   BOOST_TEST(!Follow());
