Tell entries that take a large fleet for a small one of the others

Ruled out by the logs: clocks (equal), digests not heard at the holder (all 17 were), late counts.

A relay now treats a digest from its data centre whose sender knows too few members as a request for its summaries (fleet::OwesSummary); only relays do, since at a start every entry knows few others. fleet_test: entry_that_takes_the_fleet_for_a_small_one..., small_fleet_owes_nobody...

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -214,6 +214,8 @@
     TakeLeaving(state_, upstream, name);
   }
   const bool is_new = !state_.members.by_name.contains(name);
+  received.set_wants_summary(fleet::OwesSummary(
+      state_.members, state_.fleet_options, PlaceOf(state_), received, now));
   fleet::OnDigest(state_.members, std::move(received), sender,
                   LocalTime(state_), now);
   if (is_new) {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -66,6 +66,21 @@
   return ContenderRank(of.name(), age, settings);
 }
 
+/** Tells whether an entry is among the first of its data centre. */
+bool IsRelay(const members& state,
+             const options& settings,
+             const self_place& self,
+             mono_time now) {
+  const auto own = RelayRank(self.name, self.link_mbps);
+  std::size_t before = 0;
+  for (const auto* each : Live(state, settings, now)) {
+    const bool is_near = each->last.data_centre() == self.data_centre;
+    const auto rank = RelayRank(each->last.name(), each->last.link_mbps());
+    before += is_near && rank < own ? 1 : 0;
+  }
+  return before < settings.relays;
+}
+
 bool IsStoreFollowed(const member* of) {
   return of->last.store_followed();
 }
@@ -193,6 +208,19 @@
   return true;
 }
 
+bool OwesSummary(const members& state,
+                 const options& settings,
+                 const self_place& self,
+                 const wire::digest& received,
+                 mono_time now) {
+  const bool takes_fleet_for_small =
+      !IsDense(state, settings) &&
+      received.members_known() + 1 <= settings.dense_fleet;
+  return received.wants_summary() ||
+         (takes_fleet_for_small && received.data_centre() == self.data_centre &&
+          internal::IsRelay(state, settings, self, now));
+}
+
 void OnSummary(members& state,
                wire::summary received,
                std::string_view self,
@@ -256,15 +284,7 @@
   if (IsDense(state, settings)) {
     return true;
   }
-  const auto own = internal::RelayRank(self.name, self.link_mbps);
-  std::size_t before = 0;
-  for (const auto* each : Live(state, settings, now)) {
-    const bool is_near = each->last.data_centre() == self.data_centre;
-    const auto rank =
-        internal::RelayRank(each->last.name(), each->last.link_mbps());
-    before += is_near && rank < own ? 1 : 0;
-  }
-  if (before < settings.relays) {
+  if (internal::IsRelay(state, settings, self, now)) {
     return true;
   }
   const auto relays = Relays(state, settings, now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -154,6 +154,19 @@
   bool store_followed{};
 };
 
+/**
+ * @brief Tells whether this entry owes the sender of a digest its summaries.
+ *
+ * The sender asks for them, or takes the fleet for a small one whose members
+ * tell each other everything. Since nobody in a large fleet does, it would not
+ * hear of the others; the relays of its data centre tell it.
+ */
+[[nodiscard]] bool OwesSummary(const members& state,
+                               const options& settings,
+                               const self_place& self,
+                               const wire::digest& received,
+                               mono_time now);
+
 /**
  * @brief Tells whether this entry follows the platform's store itself.
  *
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -567,6 +567,12 @@
                        });
   }
 
+  bool Owes(int number, const wire::digest& received) const {
+    auto others = state;
+    others.by_name.erase(NameOf(number));
+    return fleet::OwesSummary(others, settings, Place(number), received, now);
+  }
+
   void LoseStore() {
     for (auto& [name, found] : state.by_name) {
       found.last.set_store_followed(false);
@@ -594,6 +600,29 @@
   BOOST_TEST(FollowerCount() == 6);
 }
 
+BOOST_AUTO_TEST_CASE(entry_that_takes_the_fleet_for_a_small_one_is_told_of_it) {
+  wire::digest small;
+  small.set_data_centre("a");
+  small.set_members_known(static_cast<std::uint32_t>(settings.dense_fleet) - 1);
+  for (int i = 0; i < 29; ++i) {
+    const bool is_near = DataCentreOf(i) == "a";
+    BOOST_TEST(Owes(i, small) == (is_near && IsRelay(i)));
+  }
+  small.set_members_known(static_cast<std::uint32_t>(settings.dense_fleet));
+  BOOST_TEST(!Owes(0, small));
+  small.set_wants_summary(true);
+  BOOST_TEST(Owes(0, small));
+}
+
+BOOST_AUTO_TEST_CASE(small_fleet_owes_nobody_a_summary) {
+  while (state.by_name.size() >= settings.dense_fleet) {
+    state.by_name.erase(state.by_name.begin());
+  }
+  wire::digest small;
+  small.set_data_centre("a");
+  BOOST_TEST(!Owes(0, small));
+}
+
 BOOST_AUTO_TEST_CASE(two_of_those_that_follow_watch_the_store) {
   BOOST_TEST(WatcherCount() == 2);
 }
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -595,6 +595,29 @@
   BOOST_TEST(first.arrivals + second.arrivals == 2);
 }
 
+BOOST_AUTO_TEST_CASE(
+    entry_restarted_without_the_store_serves_nothing_withdrawn) {
+  BOOST_TEST(Call("/safe/x").status == 200);
+  store.Put("op", "config", Manifest(2, "k2"));
+  store.Drop("servers", "u1");
+  store.fault = mimosadeck::platform_test::store_fault::reset;
+  entry.reset();
+  std::filesystem::remove(settings);
+  Start();
+  first.arrivals = second.arrivals = 0;
+  for (const auto* key : {"k1", "k2"}) {
+    const auto got = Call("/safe/x", key);
+    BOOST_TEST(got.status == 503);
+    BOOST_TEST(got.fields.contains("retry-after"));
+  }
+  BOOST_TEST(Ask(ready, "/v1/ready").status == 503);
+  store.fault = mimosadeck::platform_test::store_fault::none;
+  BOOST_TEST(
+      Eventually([this] { return Call("/safe/x", "k2").status == 200; }));
+  BOOST_TEST(Call("/safe/x", "k1").status == 401);
+  BOOST_TEST(first.arrivals == 0);
+}
+
 BOOST_AUTO_TEST_CASE(answer_without_an_id_on_a_used_connection_is_not_trusted) {
   store.Drop("servers", "u2");
   BOOST_TEST(Eventually([this] {
