Grant no grace to missing upstreams where the store has answered other entries

The store had turned three entries away for nine seconds; when it answered them again they took that for the end of an outage and kept the missing upstream for the 2.2 s in which entries come back. Another entry copied their registry with the rest of the grace. Ruled out: the entry's own slower calls alone (it copied within 0.35 s) and the pause of the feed.

Digests now tell for how long the store has answered without a break. An entry that was turned away while it answered another one all the time treats missing upstreams as gone. fleet_test: store_that_answered_others_meanwhile_was_not_away.

--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -53,6 +53,8 @@
   std::optional<mono_time> registry_fresh_at;
   /** This entry follows the store itself, and the store answers. */
   bool store_followed{};
+  /** Since when; meaningless while it is not followed. */
+  mono_time store_followed_since;
 
   std::map<std::string, placement::pool, std::less<>> pools;
   placement::options placement_options;
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -42,10 +42,10 @@
  public:
   explicit dependency_log(std::string_view name) : name_(name) {}
 
-  /** @return True if the dependency was lost before. */
-  bool OnAnswer(mono_time now) {
+  /** @return How long the dependency was lost, if it was. */
+  std::optional<std::chrono::milliseconds> OnAnswer(mono_time now) {
     if (!lost_at_) {
-      return false;
+      return std::nullopt;
     }
     const auto away =
         std::chrono::duration_cast<std::chrono::milliseconds>(now - *lost_at_);
@@ -53,7 +53,7 @@
         telemetry::level::info, "dependency_regained",
         {{"dependency", name_}, {"away_ms", std::to_string(away.count())}});
     lost_at_.reset();
-    return true;
+    return away;
   }
 
   void OnFailure(std::string_view reason, mono_time now) {
@@ -399,7 +399,9 @@
       co_await Sleep(internal::StorePause(state));
       continue;
     }
-    if (store.OnAnswer(now)) {
+    const auto away_for = store.OnAnswer(now);
+    if (away_for && !fleet::WasStoreHeardThrough(
+                        state.members, state.fleet_options, *away_for, now)) {
       registry::OnStoreBack(state.upstreams, now);
     }
     const auto before = state.upstreams.by_id;
@@ -416,6 +418,9 @@
       internal::LogDifference(before, state.upstreams);
     }
     state.registry_fresh_at = now;
+    if (!state.store_followed) {
+      state.store_followed_since = now;
+    }
     state.store_followed = true;
     RefreshPools(state);
     co_await Sleep(internal::GatherTime(state));
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -326,6 +326,17 @@
   return static_cast<std::size_t>(before) < settings.watchers;
 }
 
+bool WasStoreHeardThrough(const members& state,
+                          const options& settings,
+                          std::chrono::milliseconds time,
+                          mono_time now) {
+  const auto live = Live(state, settings, now);
+  return std::any_of(live.begin(), live.end(), [time](const auto* each) {
+    const std::chrono::milliseconds heard(each->last.store_followed_ms());
+    return each->last.store_followed() && heard > time;
+  });
+}
+
 const member* FindAhead(const members& state,
                         const options& settings,
                         const self_place& self,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -200,6 +200,17 @@
                                 const self_place& self,
                                 mono_time now);
 
+/**
+ * @brief Tells whether the store has answered another entry all through a time
+ * in which it did not answer this one.
+ *
+ * It was then not away, and entries of upstreams that are missing are gone.
+ */
+[[nodiscard]] bool WasStoreHeardThrough(const members& state,
+                                        const options& settings,
+                                        std::chrono::milliseconds time,
+                                        mono_time now);
+
 /** @brief A version that digests tell, such as that of the manifest. */
 using told_version = std::uint64_t (wire::digest::*)() const;
 
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -686,6 +686,21 @@
   BOOST_TEST(!fleet::FollowsStore(state, settings, place, now));
 }
 
+BOOST_AUTO_TEST_CASE(store_that_answered_others_meanwhile_was_not_away) {
+  BOOST_TEST(!fleet::WasStoreHeardThrough(state, settings, 5s, now));
+  auto& other = state.by_name[NameOf(3)].last;
+  other.set_store_followed(true);
+  other.set_store_followed_ms(4900);
+  BOOST_TEST(!fleet::WasStoreHeardThrough(state, settings, 5s, now));
+  other.set_store_followed_ms(5100);
+  BOOST_TEST(fleet::WasStoreHeardThrough(state, settings, 5s, now));
+  other.set_store_followed(false);
+  BOOST_TEST(!fleet::WasStoreHeardThrough(state, settings, 5s, now));
+  other.set_store_followed(true);
+  now += fleet::LiveFor(state, settings) + 1ms;
+  BOOST_TEST(!fleet::WasStoreHeardThrough(state, settings, 5s, now));
+}
+
 BOOST_AUTO_TEST_CASE(first_two_try_a_store_that_is_away_more_often) {
   LoseStore();
   int first = 0;
--- a/test/forwarding/forwarding_test.cc
+++ b/test/forwarding/forwarding_test.cc
@@ -46,10 +46,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(silence_ends_nothing_that_cannot_go_on) {
-  BOOST_TEST(!forwarding::LongestStall(
-      MakeRoute(request_kind::stream, false, 1)));
-  BOOST_TEST(!forwarding::LongestStall(
-      MakeRoute(request_kind::idempotent, true, 2)));
+  BOOST_TEST(
+      !forwarding::LongestStall(MakeRoute(request_kind::stream, false, 1)));
+  BOOST_TEST(
+      !forwarding::LongestStall(MakeRoute(request_kind::idempotent, true, 2)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
