--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -66,19 +66,32 @@
   return ContenderRank(of.name(), age, settings);
 }
 
+/** Counts the live members that a rule picks and that rank before this entry
+ * among the relays. */
+template <typename Rule>
+std::size_t CountBefore(const members& state,
+                        const options& settings,
+                        const self_place& self,
+                        mono_time now,
+                        Rule picks) {
+  const auto own = RelayRank(self.name, self.link_mbps);
+  const auto live = Live(state, settings, now);
+  return static_cast<std::size_t>(
+      std::count_if(live.begin(), live.end(), [&](const auto* each) {
+        return picks(each) &&
+               RelayRank(each->last.name(), each->last.link_mbps()) < own;
+      }));
+}
+
 /** Tells whether an entry is among the first of its data centre. */
 bool IsRelay(const members& state,
              const options& settings,
              const self_place& self,
              mono_time now) {
-  const auto own = RelayRank(self.name, self.link_mbps);
-  std::size_t before = 0;
-  for (const auto* each : Live(state, settings, now)) {
-    const bool is_near = each->last.data_centre() == self.data_centre;
-    const auto rank = RelayRank(each->last.name(), each->last.link_mbps());
-    before += is_near && rank < own ? 1 : 0;
-  }
-  return before < settings.relays;
+  const auto is_near = [&self](const member* each) {
+    return each->last.data_centre() == self.data_centre;
+  };
+  return CountBefore(state, settings, self, now, is_near) < settings.relays;
 }
 
 bool IsStoreFollowed(const member* of) {
@@ -301,29 +314,17 @@
                      const options& settings,
                      const self_place& self,
                      mono_time now) {
-  const auto own = internal::RelayRank(self.name, self.link_mbps);
-  const auto live = Live(state, settings, now);
-  const auto before =
-      std::count_if(live.begin(), live.end(), [&own](const auto* each) {
-        return internal::RelayRank(each->last.name(), each->last.link_mbps()) <
-               own;
-      });
-  return static_cast<std::size_t>(before) < settings.watchers;
+  const auto any = [](const member*) { return true; };
+  return internal::CountBefore(state, settings, self, now, any) <
+         settings.watchers;
 }
 
 bool WatchesStore(const members& state,
                   const options& settings,
                   const self_place& self,
                   mono_time now) {
-  const auto own = internal::RelayRank(self.name, self.link_mbps);
-  const auto live = Live(state, settings, now);
-  const auto before =
-      std::count_if(live.begin(), live.end(), [&own](const auto* each) {
-        return each->last.store_followed() &&
-               internal::RelayRank(each->last.name(), each->last.link_mbps()) <
-                   own;
-      });
-  return static_cast<std::size_t>(before) < settings.watchers;
+  return internal::CountBefore(state, settings, self, now,
+                               internal::IsStoreFollowed) < settings.watchers;
 }
 
 bool WasStoreHeardThrough(const members& state,
