--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -10,6 +10,7 @@
 
 #include "mimosadeckd/edge/duties.h"
 #include "mimosadeckd/edge/gossip.h"
+#include "mimosadeckd/edge/member_rows.h"
 #include "mimosadeckd/edge/observe.h"
 #include "mimosadeckd/edge/requests.h"
 #include "mimosadeckd/edge/state.h"
@@ -228,7 +229,7 @@
     gossip_.Announce();
     bool is_unregistered = false;
     asio::co_spawn(
-        io_, gossip_.Unregister(),
+        io_, RemoveMemberRow(state_),
         [&is_unregistered](std::exception_ptr) { is_unregistered = true; });
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         last - SuspendAwareNow());
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -15,10 +15,6 @@
 /** Retry-After when no upstream can be reached: registrations and connections
  * come back within about this time. */
 constexpr std::chrono::milliseconds kNoUpstreamPause{400};
-/** Callers that wait for the same upstream come back spread over this part of
- * their wait (one in so many), in so many places. */
-constexpr std::int64_t kSpreadPart = 4;
-constexpr std::uint64_t kPlaces = 64;
 
 std::string_view NameOf(attempt_end end) {
   switch (end) {
@@ -76,13 +72,8 @@
   if (pool == state.pools.end()) {
     return kNoUpstreamPause;
   }
-  const auto opens_in =
-      placement::TimeToReopen(pool->second, SuspendAwareNow());
-  if (!opens_in) {
-    return kNoUpstreamPause;
-  }
-  const auto place = static_cast<std::int64_t>(work.job.sampling_key % kPlaces);
-  return *opens_in + *opens_in * place / (kSpreadPart * kPlaces);
+  return placement::ComeBackAfter(pool->second, work.job, SuspendAwareNow())
+      .value_or(kNoUpstreamPause);
 }
 
 refusal RefusalFor(const edge_state& state, const work& work, next_step step) {
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/member_rows.h"
 #include "mimosadeckd/edge/upstream_signs.h"
 #include "net/address.h"
 
@@ -37,17 +38,9 @@
 /** A peer that is not heard is tried at this interval, for so long. */
 constexpr std::uint64_t kDigestsPerTrial = 7;
 constexpr std::chrono::milliseconds kPeerMemory{120000};
-constexpr std::chrono::milliseconds kRegisterPause{500};
-/** A seed that runs answers within this time. */
-constexpr std::chrono::milliseconds kSeedHeardIn{300};
-/** Relays tell a new entry of the others within this time. */
-constexpr std::chrono::milliseconds kFleetHeardIn{1500};
-constexpr std::chrono::milliseconds kHearPoll{100};
 /** In a large fleet one entry in so many reads the list of all entries, which
  * joins groups that do not hear each other; all reading it would be a storm. */
 constexpr std::uint64_t kScanners = 8;
-constexpr std::uint32_t kRowsPerScan = 500;
-constexpr std::string_view kMemberPrefix = "member/";
 
 std::string HostOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
@@ -126,7 +119,7 @@
   }
   asio::co_spawn(state_.io, Receive(), asio::detached);
   asio::co_spawn(state_.io, SendLoop(), asio::detached);
-  asio::co_spawn(state_.io, Register(), asio::detached);
+  asio::co_spawn(state_.io, JoinFleet(), asio::detached);
 }
 
 void gossip::Announce() {
@@ -214,10 +207,13 @@
     TakeLeaving(state_, upstream, name);
   }
   const bool is_new = !state_.members.by_name.contains(name);
-  received.set_wants_summary(fleet::OwesSummary(
-      state_.members, state_.fleet_options, PlaceOf(state_), received, now));
-  fleet::OnDigest(state_.members, std::move(received), sender,
-                  LocalTime(state_), now);
+  const bool owes_summary = fleet::OwesSummary(
+      state_.members, state_.fleet_options, PlaceOf(state_), received, now);
+  const bool is_taken = fleet::OnDigest(state_.members, std::move(received),
+                                        sender, LocalTime(state_), now);
+  if (is_taken && owes_summary) {
+    fleet::AddFollower(state_.members, name, now);
+  }
   if (is_new) {
     telemetry::Log(telemetry::level::info, "entry_heard",
                    {{"entry", name}, {"address", sender}});
@@ -470,67 +466,16 @@
   }
 }
 
-asio::awaitable<void> gossip::Register() {
-  const auto key = std::string(internal::kMemberPrefix) + state_.machine.ip;
-  bool is_written = false;
-  while (!state_.stopping && !is_written) {
-    infra::commit own;
-    own.writes.push_back({key, own_address_});
-    infra::request request = std::move(own);
-    const auto reply = co_await state_.platform.Send(std::move(request));
-    is_written = std::holds_alternative<infra::committed>(reply);
-    if (!is_written) {
-      co_await Sleep(internal::kRegisterPause);
-    }
-  }
-  const bool is_known = co_await HearsLargeFleet();
+asio::awaitable<void> gossip::JoinFleet() {
+  auto address = own_address_;
+  co_await WriteMemberRow(state_, std::move(address));
+  const bool is_known = co_await HearsLargeFleet(state_);
   if (is_known && Hash64(state_.machine.name) % internal::kScanners != 0) {
     co_return;
   }
-  std::string after;
-  while (!state_.stopping) {
-    infra::request request = infra::scan_rows{
-        std::string(internal::kMemberPrefix), after, internal::kRowsPerScan};
-    const auto reply = co_await state_.platform.Send(std::move(request));
-    const auto* page = std::get_if<infra::rows_page>(&reply);
-    if (!page) {
-      co_await Sleep(internal::kRegisterPause);
-      continue;
-    }
-    for (const auto& row : page->rows) {
-      AddPeer(row.value);
-      after = row.key;
-    }
-    if (!page->more || page->rows.empty()) {
-      co_return;
-    }
-  }
-}
-
-asio::awaitable<bool> gossip::HearsLargeFleet() {
-  const auto began = SuspendAwareNow();
-  const auto& members = state_.members;
-  while (fleet::IsDense(members, state_.fleet_options)) {
-    const auto waited = SuspendAwareNow() - began;
-    if (waited >= internal::kFleetHeardIn ||
-        (members.by_name.empty() && waited >= internal::kSeedHeardIn)) {
-      co_return false;
-    }
-    co_await Sleep(internal::kHearPoll);
-  }
-  co_return true;
-}
-
-asio::awaitable<void> gossip::Unregister() {
-  infra::commit own;
-  own.writes.push_back(
-      {std::string(internal::kMemberPrefix) + state_.machine.ip, std::nullopt});
-  infra::request request = std::move(own);
-  const auto reply = co_await state_.platform.Send(std::move(request));
-  if (!std::holds_alternative<infra::committed>(reply)) {
-    telemetry::Log(telemetry::level::warning, "member_row_left",
-                   {{"reason", "the store did not confirm its removal"}});
-  }
+  std::function<void(const std::string&)> add =
+      [this](const std::string& peer) { AddPeer(peer); };
+  co_await ReadMemberRows(state_, std::move(add));
 }
 
 }  // namespace mimosadeck::edge
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -28,15 +28,11 @@
   /** @brief Sends a digest at once, with all counts. */
   void Announce();
 
-  /** @brief Takes this entry off the list from which others learn of it. */
-  [[nodiscard]] asio::awaitable<void> Unregister();
-
  private:
   asio::awaitable<void> Receive();
   asio::awaitable<void> SendLoop();
-  asio::awaitable<void> Register();
-  /** @brief Waits until a large fleet is heard. @return False if none is. */
-  asio::awaitable<bool> HearsLargeFleet();
+  /** @brief Writes this entry's row and learns of the others. */
+  asio::awaitable<void> JoinFleet();
   void Take(const std::string& bytes, const std::string& sender);
   void TakeDigest(wire::digest received, const std::string& sender);
   void TakeSuspect(const wire::suspect& told);
--- a/src/availability/availability.h
+++ b/src/availability/availability.h
@@ -2,7 +2,6 @@
 #define AVAILABILITY_AVAILABILITY_H_
 
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -167,6 +167,9 @@
                                const wire::digest& received,
                                mono_time now);
 
+/** @brief Takes note that a member gets this entry's summaries for a while. */
+void AddFollower(members& state, const std::string& name, mono_time now);
+
 /**
  * @brief Tells whether this entry follows the platform's store itself.
  *
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -26,6 +26,9 @@
 constexpr double kNoRoomGoals = 2;
 /** Weight of the newest sample in a plain service's mean time. */
 constexpr double kNewestServiceTime = 0.1;
+/** Callers come back in so many places of a quarter of their wait. */
+constexpr std::uint64_t kReturnPlaces = 64;
+constexpr std::int64_t kReturnSpread = 4 * kReturnPlaces;
 /** Memory for this many parts is kept for each upstream. */
 constexpr std::size_t kMostParts = 4096;
 
@@ -260,6 +263,18 @@
   return std::chrono::ceil<std::chrono::milliseconds>(*earliest - now);
 }
 
+std::optional<std::chrono::milliseconds> ComeBackAfter(const pool& state,
+                                                       const job& wanted,
+                                                       mono_time now) {
+  const auto wait = TimeToReopen(state, now);
+  if (!wait) {
+    return std::nullopt;
+  }
+  const auto place =
+      static_cast<std::int64_t>(wanted.sampling_key % internal::kReturnPlaces);
+  return *wait + *wait * place / internal::kReturnSpread;
+}
+
 void SetOthers(pool& state,
                const std::map<std::string, load>& by_incarnation,
                const demand& wanted) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -155,6 +155,15 @@
     const pool& state,
     mono_time now);
 
+/**
+ * @brief Returns when a caller that no upstream takes work from should come
+ * back: when the first does, spread over a quarter of the wait by the job's
+ * sampling key, so that not all return at once.
+ * @return Nothing if an upstream takes work now, or if there is none.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds>
+ComeBackAfter(const pool& state, const job& wanted, mono_time now);
+
 /** @brief Replaces what other entries tell of their work. */
 void SetOthers(pool& state,
                const std::map<std::string, load>& by_incarnation,
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -73,7 +73,7 @@
   std::uint64_t version{};
   /**
    * Version that last brought something new. Upstreams write their entries anew
-   * several times a minute; other processes need not copy that.
+   * with each heartbeat; other processes need not copy that.
    */
   std::uint64_t changed_version{};
   /** Ids that are gone, by the version of their removal; the oldest are
--- a/test/lease/handover_test.cc
+++ b/test/lease/handover_test.cc
@@ -336,7 +336,7 @@
   BOOST_TEST(FirstBroken() == "");
 }
 
-BOOST_AUTO_TEST_CASE(lease_changes_hands_in_most_schedules) {
+BOOST_AUTO_TEST_CASE(lease_changes_hands_in_many_schedules) {
   std::size_t changed = 0;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     fleet_of_contenders fleet(seed, used);
--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE placement
 #include <boost/test/included/unit_test.hpp>
 
+#include <set>
+
 #include "base/base.h"
 #include "placement/placement.h"
 
@@ -258,6 +260,22 @@
   BOOST_TEST(!placement::TimeToReopen(pool, now));
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_wait_for_the_same_engine_return_spread) {
+  for (const auto& [name, found] : pool.candidates) {
+    placement::SetAvailability(pool, name, now + 4s, {});
+  }
+  std::set<std::chrono::milliseconds> returns;
+  auto wanted = Draft(1);
+  for (wanted.sampling_key = 0; wanted.sampling_key < 64;
+       ++wanted.sampling_key) {
+    returns.insert(*placement::ComeBackAfter(pool, wanted, now));
+  }
+  BOOST_TEST(returns.size() > 32U);
+  BOOST_TEST((*returns.begin() == 4s));
+  BOOST_TEST((*returns.rbegin() < 5s));
+  BOOST_TEST(!placement::ComeBackAfter(pool, wanted, now + 4s));
+}
+
 BOOST_AUTO_TEST_CASE(avoided_engine_is_used_only_if_all_are) {
   const auto before = Send(Draft(1));
   placement::SetAvailability(pool, before.incarnation, {}, now + 1s);
