Try the store again soon enough after a cut

Ruled out: the other entries (they dropped it at once), the copies between entries (version 102 had it as gone since 13.7 s).

The pause is now bounded by the time after which the bounds hold, less the grace and the time to connect (fleet::StorePause): 0.3 s there, up to a second where that time is longer. fleet_test: entry_that_was_cut_off_tries_the_store_in_time.

Calls go back up in outages of small fleets.

--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -8,11 +8,6 @@
 namespace internal {
 namespace {
 
-/** Pause after the store refused or did not answer, for the first entries that
- * try it again. */
-constexpr std::chrono::milliseconds kStorePause{300};
-/** The same for the others, which hear from the first when it is back. */
-constexpr std::chrono::milliseconds kLongStorePause{1000};
 /** A lost answer of the store is missed within the time after which the agreed
  * bounds hold again. */
 constexpr int kWaitsInContact = 2;
@@ -142,13 +137,19 @@
                              SuspendAwareNow());
 }
 
-/** @brief Returns the pause before a store that did not answer is tried again.
+/**
+ * @brief Returns the pause before a store that did not answer is tried again.
+ *
+ * An entry that was cut off takes its return for the end of an outage and keeps
+ * missing upstreams for the grace; pause, connecting and grace must end within
+ * the time after which the agreed bounds hold again.
  */
 std::chrono::milliseconds StorePause(const edge_state& state) {
-  return fleet::TriesStoreFirst(state.members, state.fleet_options,
-                                PlaceOf(state), SuspendAwareNow())
-             ? kStorePause
-             : kLongStorePause;
+  const auto most = state.machine.bounds.contact -
+                    state.registry_options.return_grace -
+                    platform::kConnectTimeout;
+  return fleet::StorePause(state.members, state.fleet_options, PlaceOf(state),
+                           most, SuspendAwareNow());
 }
 
 /** @brief Returns how long the store may hold back an answer. */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,11 @@
   std::size_t triers{4};
   /** Time after which others try. */
   std::chrono::milliseconds trial_turn{1000};
+  /** Pause of the first entries before a store that did not answer is tried
+   * again. */
+  std::chrono::milliseconds shortest_store_pause{300};
+  /** The same of the others, which hear from the first when it is back. */
+  std::chrono::milliseconds longest_store_pause{1000};
   /** Beyond this size the interval grows with the fleet, so that a relay takes
    * the same number of digests a second. */
   std::size_t relayed_fleet{64};
@@ -192,6 +197,18 @@
                                    const self_place& self,
                                    mono_time now);
 
+/**
+ * @brief Returns the pause before a store that did not answer is tried again.
+ * @param most Longest pause after which an entry that was cut off still knows
+ * in time which upstreams are gone; the shortest pause goes before it.
+ */
+[[nodiscard]] std::chrono::milliseconds StorePause(
+    const members& state,
+    const options& settings,
+    const self_place& self,
+    std::chrono::milliseconds most,
+    mono_time now);
+
 /**
  * @brief Tells whether an entry that follows the store asks it often.
  *
--- a/src/fleet/relays.cc
+++ b/src/fleet/relays.cc
@@ -140,6 +140,18 @@
          settings.watchers;
 }
 
+std::chrono::milliseconds StorePause(const members& state,
+                                     const options& settings,
+                                     const self_place& self,
+                                     std::chrono::milliseconds most,
+                                     mono_time now) {
+  if (TriesStoreFirst(state, settings, self, now)) {
+    return settings.shortest_store_pause;
+  }
+  return std::max(settings.shortest_store_pause,
+                  std::min(settings.longest_store_pause, most));
+}
+
 bool WatchesStore(const members& state,
                   const options& settings,
                   const self_place& self,
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -701,6 +701,23 @@
   BOOST_TEST(!fleet::WasStoreHeardThrough(state, settings, 5s, now));
 }
 
+BOOST_AUTO_TEST_CASE(entry_that_was_cut_off_tries_the_store_in_time) {
+  LoseStore();
+  int last = 0;
+  while (Ask(fleet::TriesStoreFirst, last)) {
+    ++last;
+  }
+  const auto pause = [&](std::chrono::milliseconds most) {
+    auto others = state;
+    others.by_name.erase(NameOf(last));
+    return fleet::StorePause(others, settings, Place(last), most, now);
+  };
+  BOOST_TEST((pause(300ms) == 300ms));
+  BOOST_TEST((pause(-100ms) == settings.shortest_store_pause));
+  BOOST_TEST((pause(800ms) == 800ms));
+  BOOST_TEST((pause(5s) == settings.longest_store_pause));
+}
+
 BOOST_AUTO_TEST_CASE(first_two_try_a_store_that_is_away_more_often) {
   LoseStore();
   int first = 0;
