--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -19,11 +19,8 @@
 namespace internal {
 namespace {
 
-/** Suspects are told for so long after their last crash. */
-constexpr std::chrono::milliseconds kSuspectNews{5000};
 /** Windows that a digest covers: the present one and those not yet due. */
 constexpr std::size_t kWindowsTold = 3;
-constexpr std::size_t kMostSuspectsTold = 8;
 constexpr std::size_t kMostPeersTold = 8;
 /** Keeps a datagram below 3 KB. */
 constexpr std::size_t kRecordsPerDatagram = 16;
@@ -80,22 +77,20 @@
   }
 }
 
-void FillSuspects(const edge_state& state, wire::digest& out) {
-  std::size_t left = kMostSuspectsTold;
-  const auto now = SuspendAwareNow();
-  for (const auto& [fingerprint, known] : state.ward.suspects) {
-    if (now - known.seen_at > kSuspectNews) {
-      continue;
-    }
-    if (left-- == 0) {
-      return;
-    }
+void FillSuspects(edge_state& state, wire::digest& out) {
+  const auto news = quarantine::ToTell(state.ward, state.quarantine_options,
+                                       SuspendAwareNow());
+  for (const auto* each : news.told) {
     auto& told = *out.add_suspects();
-    told.set_fingerprint(fingerprint);
-    for (const auto& crash : known.crashes) {
+    told.set_fingerprint(each->first);
+    for (const auto& crash : each->second.crashes) {
       told.add_crashes(crash);
     }
   }
+  if (news.left_out > 0) {
+    state.metrics.Count("mimosadeck_suspects_untold_total", "entry",
+                        state.machine.name);
+  }
 }
 
 }  // namespace
@@ -162,7 +157,7 @@
   } else if (received.has_summary()) {
     auto& summary = *received.mutable_summary();
     for (const auto& told : summary.suspects()) {
-      TakeSuspect(told);
+      TakeSuspect(told, summary.relay());
     }
     for (const auto& upstream : summary.leaving_upstreams()) {
       TakeLeaving(state_, upstream, summary.relay());
@@ -175,11 +170,18 @@
   }
 }
 
-void gossip::TakeSuspect(const wire::suspect& told) {
+void gossip::TakeSuspect(const wire::suspect& told, std::string_view origin) {
+  const bool was_condemned =
+      quarantine::IsCondemned(state_.ward, told.fingerprint());
   quarantine::suspect known;
   known.crashes = {told.crashes().begin(), told.crashes().end()};
   quarantine::Merge(state_.ward, state_.quarantine_options, told.fingerprint(),
                     known, SuspendAwareNow());
+  if (!was_condemned &&
+      quarantine::IsCondemned(state_.ward, told.fingerprint())) {
+    telemetry::Log(telemetry::level::warning, "request_condemned",
+                   {{"fingerprint", told.fingerprint()}, {"origin", origin}});
+  }
 }
 
 void gossip::TakeDigest(wire::digest received, const std::string& sender) {
@@ -200,7 +202,7 @@
     metering::Merge(state_.tally, source, told.window(), counts);
   }
   for (const auto& told : received.suspects()) {
-    TakeSuspect(told);
+    TakeSuspect(told, received.name());
   }
   const auto name = received.name();
   for (const auto& upstream : received.leaving_upstreams()) {
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -35,7 +36,7 @@
   asio::awaitable<void> JoinFleet();
   void Take(const std::string& bytes, const std::string& sender);
   void TakeDigest(wire::digest received, const std::string& sender);
-  void TakeSuspect(const wire::suspect& told);
+  void TakeSuspect(const wire::suspect& told, std::string_view origin);
   void AddPeer(const std::string& address);
   [[nodiscard]] wire::digest MakeDigest();
   void Send(const wire::datagram& content, const std::string& address);
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -63,6 +63,8 @@
               lease::IsHeld(state.lease, now) ? 1 : 0);
   metrics.Set("mimosadeck_suspect_requests", "entry", entry,
               static_cast<double>(state.ward.suspects.size()));
+  metrics.Set("mimosadeck_condemned_requests", "entry", entry,
+              static_cast<double>(quarantine::CondemnedCount(state.ward)));
   for (const auto& [service, pool] : state.pools) {
     internal::ObservePool(metrics, service, pool, now);
   }
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -1,5 +1,7 @@
 #include "quarantine/quarantine.h"
 
+#include <algorithm>
+
 #include "base/digest.h"
 
 namespace mimosadeck::quarantine {
@@ -66,6 +68,32 @@
   internal::Judge(entry, settings);
 }
 
+news ToTell(const ward& state, const options& settings, mono_time now) {
+  news out;
+  for (const auto& each : state.suspects) {
+    if (now - each.second.seen_at > settings.told_for) {
+      continue;
+    }
+    if (out.told.size() < settings.most_told) {
+      out.told.push_back(&each);
+    } else {
+      ++out.left_out;
+    }
+  }
+  return out;
+}
+
+std::size_t CrashCount(const ward& state, const std::string& fingerprint) {
+  const auto found = state.suspects.find(fingerprint);
+  return found == state.suspects.end() ? 0 : found->second.crashes.size();
+}
+
+std::size_t CondemnedCount(const ward& state) {
+  return static_cast<std::size_t>(
+      std::count_if(state.suspects.begin(), state.suspects.end(),
+                    [](const auto& each) { return each.second.condemned; }));
+}
+
 bool IsCondemned(const ward& state, const std::string& fingerprint) {
   const auto found = state.suspects.find(fingerprint);
   return found != state.suspects.end() && found->second.condemned;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -2,6 +2,7 @@
 #define QUARANTINE_QUARANTINE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -21,6 +22,10 @@
   std::uint32_t crashes_in_all{4};
   /** A suspect or condemned request is forgotten after so long. */
   std::chrono::milliseconds forget_after{600000};
+  /** Other entries are told of a suspect for so long after it was heard of. */
+  std::chrono::milliseconds told_for{5000};
+  /** Suspects told at once: they share a datagram with other records. */
+  std::size_t most_told{8};
 };
 
 /** @brief What is known of one request's fingerprint. */
@@ -67,6 +72,28 @@
            const suspect& known,
            mono_time now);
 
+/** @brief A suspect with its fingerprint. */
+using suspect_entry = std::map<std::string, suspect>::value_type;
+
+/** @brief What an entry tells the others at one time. */
+struct news {
+  std::vector<const suspect_entry*> told;
+  /** Suspects for which there was no room. */
+  std::size_t left_out{};
+};
+
+/** @brief Chooses the suspects to tell other entries of. */
+[[nodiscard]] news ToTell(const ward& state,
+                          const options& settings,
+                          mono_time now);
+
+/** @brief Returns the crashes that are put down to a request. */
+[[nodiscard]] std::size_t CrashCount(const ward& state,
+                                     const std::string& fingerprint);
+
+/** @brief Returns the number of requests that are refused. */
+[[nodiscard]] std::size_t CondemnedCount(const ward& state);
+
 /** @brief Tells whether a request must be refused. */
 [[nodiscard]] bool IsCondemned(const ward& state,
                                const std::string& fingerprint);
