Tell every entry of condemned requests; keep no suspect out of the digests for ever

Callers saw: streams and answers of many requests broken off, since a request that crashes upstreams was let through by each entry until that entry had seen three crashes of its own.

Cause: a digest carried the first eight suspects in the order of their fingerprints, and every broken answer makes a suspect. Hearing of a suspect made it news again, so entries echoed the eight smallest to each other for ever. All others were never told of. The class: a bounded message filled in a fixed order from a list that never empties.

Fix: condemned requests and suspects have half of the room each; suspects go by crashes, equals by turns. Only what is new is told on. A message says how long ago the last crash was, so that all entries forget a request together. Condemned requests are told of as long as they are known, so that an entry which starts or returns learns of them within a digest or two; their crashes are no longer listed.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -78,13 +78,21 @@
 }
 
 void FillSuspects(edge_state& state, wire::digest& out) {
-  const auto news = quarantine::ToTell(state.ward, state.quarantine_options,
-                                       SuspendAwareNow());
+  const auto now = SuspendAwareNow();
+  const auto news =
+      quarantine::ToTell(state.ward, state.quarantine_options, now);
   for (const auto* each : news.told) {
+    const auto& known = each->second;
     auto& told = *out.add_suspects();
     told.set_fingerprint(each->first);
-    for (const auto& crash : each->second.crashes) {
-      told.add_crashes(crash);
+    told.set_condemned(known.condemned);
+    told.set_crashed_ms_ago(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                              known.crashed_at)
+            .count()));
+    if (!known.condemned) {
+      told.mutable_crashes()->Assign(known.crashes.begin(),
+                                     known.crashes.end());
     }
   }
   if (news.left_out > 0) {
@@ -171,14 +179,13 @@
 }
 
 void gossip::TakeSuspect(const wire::suspect& told, std::string_view origin) {
-  const bool was_condemned =
-      quarantine::IsCondemned(state_.ward, told.fingerprint());
+  const auto now = SuspendAwareNow();
   quarantine::suspect known;
   known.crashes = {told.crashes().begin(), told.crashes().end()};
-  quarantine::Merge(state_.ward, state_.quarantine_options, told.fingerprint(),
-                    known, SuspendAwareNow());
-  if (!was_condemned &&
-      quarantine::IsCondemned(state_.ward, told.fingerprint())) {
+  known.condemned = told.condemned();
+  known.crashed_at = now - std::chrono::milliseconds(told.crashed_ms_ago());
+  if (quarantine::Merge(state_.ward, state_.quarantine_options,
+                        told.fingerprint(), known, now)) {
     telemetry::Log(telemetry::level::warning, "request_condemned",
                    {{"fingerprint", told.fingerprint()}, {"origin", origin}});
   }
--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -624,6 +624,7 @@
       known.crashes_alone.insert(one.crash());
     }
     known.condemned = one.condemned();
+    known.crashed_at = Now();
     quarantine::Merge(ward_, quarantine_options_, one.fingerprint(), known,
                       Now());
   }
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -1,6 +1,8 @@
 #include "quarantine/quarantine.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -15,6 +17,32 @@
   }
 }
 
+/** @brief Takes note that something new was learned. */
+void Renew(suspect& entry, mono_time now) {
+  entry.learned_at = now;
+  entry.times_told = 0;
+}
+
+/** @brief Orders by crashes, the most first, then by how often others were
+ * told. */
+bool GoesFirst(const suspect_entry* a, const suspect_entry* b) {
+  const auto rank = [](const suspect& of) {
+    return std::pair(of.condemned ? 0 : -std::ssize(of.crashes), of.times_told);
+  };
+  return rank(a->second) < rank(b->second);
+}
+
+/** @brief Moves the first of the due ones into what is told. */
+void Tell(std::vector<suspect_entry*>& due, std::size_t most, news& out) {
+  std::stable_sort(due.begin(), due.end(), GoesFirst);
+  const auto count = std::min(due.size(), most);
+  for (std::size_t i = 0; i < count; ++i) {
+    ++due[i]->second.times_told;
+    out.told.push_back(due[i]);
+  }
+  out.left_out += due.size() - count;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -34,10 +62,11 @@
   std::vector<std::string> changed;
   for (const auto& fingerprint : running) {
     auto& entry = state.suspects[fingerprint];
-    entry.seen_at = now;
     if (!entry.crashes.insert(crash).second) {
       continue;
     }
+    entry.crashed_at = now;
+    internal::Renew(entry, now);
     if (running.size() == 1) {
       entry.crashes_alone.insert(crash);
     }
@@ -54,32 +83,44 @@
   }
 }
 
-void Merge(ward& state,
+bool Merge(ward& state,
            const options& settings,
            const std::string& fingerprint,
            const suspect& known,
            mono_time now) {
+  if (now - known.crashed_at > settings.forget_after) {
+    return false;
+  }
   auto& entry = state.suspects[fingerprint];
-  entry.seen_at = now;
+  const auto crashes_before = entry.crashes.size();
+  const bool was_condemned = entry.condemned;
   entry.crashes.insert(known.crashes.begin(), known.crashes.end());
   entry.crashes_alone.insert(known.crashes_alone.begin(),
                              known.crashes_alone.end());
   entry.condemned = entry.condemned || known.condemned;
+  entry.crashed_at = std::max(entry.crashed_at, known.crashed_at);
   internal::Judge(entry, settings);
+  const bool is_condemned_now = entry.condemned && !was_condemned;
+  if (is_condemned_now || entry.crashes.size() > crashes_before) {
+    internal::Renew(entry, now);
+  }
+  return is_condemned_now;
 }
 
-news ToTell(const ward& state, const options& settings, mono_time now) {
-  news out;
-  for (const auto& each : state.suspects) {
-    if (now - each.second.seen_at > settings.told_for) {
-      continue;
-    }
-    if (out.told.size() < settings.most_told) {
-      out.told.push_back(&each);
-    } else {
-      ++out.left_out;
+news ToTell(ward& state, const options& settings, mono_time now) {
+  std::vector<suspect_entry*> condemned;
+  std::vector<suspect_entry*> others;
+  for (auto& each : state.suspects) {
+    if (each.second.condemned) {
+      condemned.push_back(&each);
+    } else if (now - each.second.learned_at <= settings.told_for) {
+      others.push_back(&each);
     }
   }
+  const auto kept_free = std::min(others.size(), settings.most_told / 2);
+  news out;
+  internal::Tell(condemned, settings.most_told - kept_free, out);
+  internal::Tell(others, settings.most_told - out.told.size(), out);
   return out;
 }
 
@@ -105,7 +146,7 @@
 
 void Tick(ward& state, const options& settings, mono_time now) {
   std::erase_if(state.suspects, [&](const auto& item) {
-    return now - item.second.seen_at > settings.forget_after;
+    return now - item.second.crashed_at > settings.forget_after;
   });
 }
 
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -20,12 +20,17 @@
   std::uint32_t crashes_alone{2};
   /** Crashes in whatever company that condemn a request. */
   std::uint32_t crashes_in_all{4};
-  /** A suspect or condemned request is forgotten after so long. */
+  /** A suspect or condemned request is forgotten so long after its last crash.
+   */
   std::chrono::milliseconds forget_after{600000};
-  /** Other entries are told of a suspect for so long after it was heard of. */
+  /**
+   * Other entries are told of a suspect for so long after something new was
+   * learned of it: several digests, since one may be lost. Condemned requests
+   * are told of as long as they are known, for entries that come later.
+   */
   std::chrono::milliseconds told_for{5000};
-  /** Suspects told at once: they share a datagram with other records. */
-  std::size_t most_told{8};
+  /** Suspects told at once, which take 1.5 KB of a datagram. */
+  std::size_t most_told{16};
 };
 
 /** @brief What is known of one request's fingerprint. */
@@ -33,7 +38,12 @@
   std::set<std::string> crashes;
   std::set<std::string> crashes_alone;
   bool condemned{};
-  mono_time seen_at;
+  /** Time of the newest crash. */
+  mono_time crashed_at;
+  /** When this entry last learned something new. */
+  mono_time learned_at;
+  /** Times that this entry has told of it since. */
+  std::uint32_t times_told{};
 };
 
 /** @brief Suspects of all upstreams that one entry knows of. */
@@ -65,8 +75,16 @@
 /** @brief Clears a suspect whose request ran to its end. */
 void OnFinished(ward& state, const std::string& fingerprint);
 
-/** @brief Takes over what another entry knows; crashes are counted once. */
-void Merge(ward& state,
+/**
+ * @brief Takes over what another entry knows; crashes are counted once.
+ *
+ * What is known already is no news: it is not told again on this account, and
+ * the suspect is not kept any longer.
+ *
+ * @param known Its `crashed_at` is in this entry's time.
+ * @return True if the request is condemned now and was not before.
+ */
+bool Merge(ward& state,
            const options& settings,
            const std::string& fingerprint,
            const suspect& known,
@@ -82,10 +100,14 @@
   std::size_t left_out{};
 };
 
-/** @brief Chooses the suspects to tell other entries of. */
-[[nodiscard]] news ToTell(const ward& state,
-                          const options& settings,
-                          mono_time now);
+/**
+ * @brief Chooses the suspects to tell other entries of.
+ *
+ * Half of the room is for condemned requests, which are told of by turns, half
+ * for suspects, those with the most crashes first and among equals those told
+ * of least; what one half leaves the other uses.
+ */
+[[nodiscard]] news ToTell(ward& state, const options& settings, mono_time now);
 
 /** @brief Returns the crashes that are put down to a request. */
 [[nodiscard]] std::size_t CrashCount(const ward& state,
--- a/test/quarantine/crashing_request_test.cc
+++ b/test/quarantine/crashing_request_test.cc
@@ -157,7 +157,7 @@
 BOOST_AUTO_TEST_CASE(suspect_without_further_crash_is_told_no_more) {
   Crash(entries.front(), kPoison);
   Pass(3 * options.told_for);
-  for (const auto& each : entries) {
+  for (auto& each : entries) {
     BOOST_TEST(quarantine::ToTell(each.ward, options, now).told.empty());
   }
 }
