--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/crashes.h"
 #include "mimosadeckd/edge/upstream_signs.h"
 
 namespace mimosadeck::edge {
@@ -258,35 +259,11 @@
     }
     placement::OnOutcome(pool, state_.placement_options, ticket_, seen,
                          Since(started_), now);
-    if (failed && failed->end == attempt_end::broke_off && !failed->silent) {
-      NoteCrash(failed->reason, now);
-    }
-  }
-
-  /** A connection that broke while the request ran may mean that the request
-   * crashed the upstream. */
-  void NoteCrash(std::string_view reason, mono_time now) {
-    const auto fingerprint = FingerprintOf(*work_);
-    static_cast<void>(
-        quarantine::OnCrash(state_.ward, state_.quarantine_options,
-                            ticket_.incarnation, {fingerprint}, now));
-    state_.metrics.Count("mimosadeck_crashes_suspected_total", "service",
-                         work_->service);
-    telemetry::Log(
-        telemetry::level::info, "crash_suspected",
-        {{"request", work_->asked.id},
-         {"fingerprint", fingerprint},
-         {"upstream", ticket_.incarnation},
-         {"reason", reason},
-         {"sent_before_ms", std::to_string(Ms(Since(started_)).count())},
-         {"crashes_known",
-          std::to_string(quarantine::CrashCount(state_.ward, fingerprint))}});
-    if (quarantine::IsCondemned(state_.ward, fingerprint)) {
-      telemetry::Log(telemetry::level::warning, "request_condemned",
-                     {{"request", work_->asked.id},
-                      {"fingerprint", fingerprint},
-                      {"origin", "own attempt"},
-                      {"upstream", ticket_.incarnation}});
+    if (failed && failed->end == attempt_end::broke_off) {
+      InvestigateBreak(
+          state_, {work_->asked.id, FingerprintOf(*work_), work_->service,
+                   ticket_.incarnation, ticket_.entry->address, failed->reason,
+                   failed->silent, now});
     }
   }
 
--- /dev/null
+++ b/apps/mimosadeckd/edge/crashes.cc
@@ -0,0 +1,146 @@
+#include "mimosadeckd/edge/crashes.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mimosadeck::edge {
+namespace internal {
+namespace {
+
+/** An upstream that started again registers within about two heartbeats. */
+constexpr std::chrono::milliseconds kRestartListedIn{3000};
+
+/** @brief What became of the upstream of a broken attempt. */
+enum class upstream_fate {
+  /** The same incarnation goes on. */
+  serves,
+  /** It takes no connections any more. */
+  ended,
+  /** Another incarnation has taken its place. */
+  replaced,
+  unreachable,
+};
+
+std::string_view NameOf(upstream_fate fate) {
+  switch (fate) {
+    case upstream_fate::serves:
+      return "serves";
+    case upstream_fate::ended:
+      return "ended";
+    case upstream_fate::replaced:
+      return "replaced";
+    case upstream_fate::unreachable:
+      return "unreachable";
+  }
+  return "unlisted";
+}
+
+upstream_fate FateOf(net::listener_state found) {
+  switch (found) {
+    case net::listener_state::listening:
+      return upstream_fate::serves;
+    case net::listener_state::closed:
+      return upstream_fate::ended;
+    case net::listener_state::unreachable:
+      return upstream_fate::unreachable;
+  }
+  return upstream_fate::unreachable;
+}
+
+/** An attempt that ended in silence behind a cut link shows nothing. */
+bool IsCrash(const broken_attempt& broken, upstream_fate fate) {
+  switch (fate) {
+    case upstream_fate::serves:
+      return false;
+    case upstream_fate::ended:
+    case upstream_fate::replaced:
+      return true;
+    case upstream_fate::unreachable:
+      return !broken.silent;
+  }
+  return false;
+}
+
+bool IsListed(const edge_state& state, std::string_view incarnation) {
+  const auto& all = state.upstreams.by_id;
+  return std::any_of(all.begin(), all.end(), [incarnation](const auto& each) {
+    return registry::IncarnationOf(*each.second.entry) == incarnation;
+  });
+}
+
+void Judge(edge_state& state,
+           const broken_attempt& broken,
+           upstream_fate fate) {
+  const bool is_crash = IsCrash(broken, fate);
+  bool is_condemned_now = false;
+  if (is_crash) {
+    const bool was_condemned =
+        quarantine::IsCondemned(state.ward, broken.fingerprint);
+    auto crash = quarantine::NameCrash(
+        state.crashes, state.quarantine_options, broken.upstream,
+        SourceName(state.machine.name, state.incarnation), broken.at);
+    static_cast<void>(quarantine::OnCrash(state.ward, state.quarantine_options,
+                                          crash, {broken.fingerprint},
+                                          SuspendAwareNow()));
+    is_condemned_now = !was_condemned &&
+                       quarantine::IsCondemned(state.ward, broken.fingerprint);
+    state.metrics.Count("mimosadeck_crashes_suspected_total", "service",
+                        broken.service);
+  }
+  telemetry::Log(telemetry::level::info, "break_investigated",
+                 {{"request", broken.request},
+                  {"fingerprint", broken.fingerprint},
+                  {"upstream", broken.upstream},
+                  {"reason", broken.reason},
+                  {"fate", NameOf(fate)},
+                  {"counted", is_crash ? "yes" : "no"},
+                  {"crashes_known", std::to_string(quarantine::CrashCount(
+                                        state.ward, broken.fingerprint))}});
+  if (is_condemned_now) {
+    telemetry::Log(telemetry::level::warning, "request_condemned",
+                   {{"request", broken.request},
+                    {"fingerprint", broken.fingerprint},
+                    {"origin", "own attempt"},
+                    {"upstream", broken.upstream}});
+  }
+}
+
+asio::awaitable<void> Investigate(edge_state& state,
+                                  std::string upstream,
+                                  std::string address) {
+  auto fate = FateOf(
+      co_await net::ProbeListener(std::move(address), net::probe_options{}));
+  auto broken = std::move(state.investigations[upstream]);
+  state.investigations.erase(upstream);
+  if (fate == upstream_fate::serves) {
+    // It may have ended and started again before the break was noticed.
+    co_await Sleep(kRestartListedIn);
+    fate = IsListed(state, upstream) ? upstream_fate::serves
+                                     : upstream_fate::replaced;
+  }
+  for (const auto& each : broken) {
+    Judge(state, each, fate);
+  }
+}
+
+}  // namespace
+}  // namespace internal
+
+void InvestigateBreak(edge_state& state, broken_attempt broken) {
+  auto upstream = broken.upstream;
+  auto address = broken.address;
+  auto& waiting = state.investigations[upstream];
+  waiting.push_back(std::move(broken));
+  if (waiting.size() == 1) {
+    asio::co_spawn(
+        state.io,
+        internal::Investigate(state, std::move(upstream), std::move(address)),
+        asio::detached);
+  }
+}
+
+}  // namespace mimosadeck::edge
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -456,6 +456,7 @@
     });
     fleet::Tick(state_.members, state_.fleet_options, now);
     quarantine::Tick(state_.ward, state_.quarantine_options, now);
+    quarantine::Tick(state_.crashes, state_.quarantine_options, now);
     for (auto& [name, pool] : state_.pools) {
       placement::Tick(pool, now);
     }
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -29,6 +30,20 @@
 
 namespace asio = boost::asio;
 
+/** @brief An attempt that ended as if its upstream had. */
+struct broken_attempt {
+  std::string request;
+  std::string fingerprint;
+  std::string service;
+  /** The upstream's incarnation. */
+  std::string upstream;
+  std::string address;
+  std::string reason;
+  /** The upstream sent nothing until the attempt's time was over. */
+  bool silent{};
+  mono_time at;
+};
+
 /** @brief State that all parts of an edge daemon share, on one thread. */
 struct edge_state {
   edge_state(asio::io_context& io, platform::machine_settings machine);
@@ -63,6 +78,9 @@
   std::map<std::string, retry::budget, std::less<>> budgets;
   quarantine::ward ward;
   quarantine::options quarantine_options;
+  quarantine::crash_log crashes;
+  /** Broken attempts at upstreams that are being probed, by incarnation. */
+  std::map<std::string, std::vector<broken_attempt>> investigations;
 
   fleet::members members;
   fleet::options fleet_options;
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -57,7 +57,9 @@
 }
 
 call_failure Failure(call_progress progress, error_code failure) {
-  return {progress, failure == beast::error::timeout, failure.message()};
+  const bool is_silent =
+      failure == beast::error::timeout || failure == asio::error::timed_out;
+  return {progress, is_silent, failure.message()};
 }
 
 request_message Convert(const std::string& address, http_request&& in) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -6,6 +6,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/http_types.h"
+#include "net/listener_probe.h"
 #include "net/one_shot.h"
 #include "net/peer_link.h"
 
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -54,6 +54,31 @@
   return Sha256Hex(text).substr(0, kDigits);
 }
 
+std::string NameCrash(crash_log& state,
+                      const options& settings,
+                      const std::string& upstream,
+                      std::string_view observer,
+                      mono_time at) {
+  auto& known = state.by_upstream[upstream];
+  if (known.crashes == 0 || at - known.last_at > settings.one_crash_within) {
+    ++known.crashes;
+    known.last_at = at;
+  }
+  return upstream + '#' + std::to_string(known.crashes) + '@' +
+         std::string(observer);
+}
+
+std::string Fingerprint(std::string_view account,
+                        std::string_view method,
+                        std::string_view target,
+                        std::string_view body) {
+  std::string text(method);
+  text.append(" ");
+  text.append(body.empty() ? target : target.substr(0, target.find('?')));
+  text.append("\n").append(body);
+  return Fingerprint(account, text);
+}
+
 std::vector<std::string> OnCrash(ward& state,
                                  const options& settings,
                                  const std::string& crash,
@@ -150,4 +175,11 @@
   });
 }
 
+void Tick(crash_log& state, const options& settings, mono_time now) {
+  std::erase_if(state.by_upstream, [&](const auto& item) {
+    return now - item.second.last_at > settings.forget_after;
+  });
+}
+
 }  // namespace mimosadeck::quarantine
+
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -14,6 +14,17 @@
 
 namespace mimosadeck::quarantine {
 
+/** @brief The crashes of one upstream, as one observer counts them. */
+struct crash_count {
+  std::uint64_t crashes{};
+  mono_time last_at;
+};
+
+/** @brief Crashes that one observer has established, by upstream. */
+struct crash_log {
+  std::map<std::string, crash_count> by_upstream;
+};
+
 /** @brief Settings of the quarantine. */
 struct options {
   /** Crashes as the only suspect on an upstream that condemn a request. */
@@ -29,6 +40,9 @@
    * are told of as long as they are known, for entries that come later.
    */
   std::chrono::milliseconds told_for{5000};
+  /** Attempts that break off at one upstream within this time were ended by
+   * one crash: an upstream takes seconds to start again. */
+  std::chrono::milliseconds one_crash_within{1000};
   /** Suspects told at once, which take 1.5 KB of a datagram. */
   std::size_t most_told{16};
 };
@@ -59,6 +73,20 @@
 [[nodiscard]] std::string Fingerprint(std::string_view account,
                                       std::string_view body);
 
+/**
+ * @brief Names a crash by its upstream, its observer and its number.
+ *
+ * An upstream may start again under its name while nobody can tell the two
+ * lives apart, so its name alone would count many crashes as one.
+ *
+ * @param at When the attempt broke off.
+ */
+[[nodiscard]] std::string NameCrash(crash_log& state,
+                                    const options& settings,
+                                    const std::string& upstream,
+                                    std::string_view observer,
+                                    mono_time at);
+
 /**
  * @brief Takes note that an upstream crashed.
  * @param crash Identity of the crash, equal on every entry that saw it.
@@ -130,6 +158,9 @@
 /** @brief Forgets old suspects. */
 void Tick(ward& state, const options& settings, mono_time now);
 
+/** @brief Forgets upstreams whose last crash is long ago. */
+void Tick(crash_log& state, const options& settings, mono_time now);
+
 }  // namespace mimosadeck::quarantine
 
 #endif  // QUARANTINE_QUARANTINE_H_
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -1,5 +1,7 @@
 #include "platform/store_stand_in.h"
 
+#include <algorithm>
+
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <boost/url.hpp>
@@ -65,6 +67,14 @@
   rows_[{table, key}] = {value, ++version_, false};
 }
 
+bool store_stand_in::HasRow(std::string_view prefix) const {
+  return std::any_of(rows_.begin(), rows_.end(), [prefix](const auto& each) {
+    return !each.second.removed && each.first.first != "op" &&
+           each.first.first != "servers" &&
+           each.first.second.starts_with(prefix);
+  });
+}
+
 void store_stand_in::Drop(const std::string& table, const std::string& key) {
   rows_[{table, key}] = {"", ++version_, true};
 }
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,9 @@
   /** @brief Drops a row. */
   void Drop(const std::string& table, const std::string& key);
 
+  /** @brief Tells whether a row of the product's has a key that begins so. */
+  [[nodiscard]] bool HasRow(std::string_view prefix) const;
+
   /** @brief Forgets the history before now. */
   void Compact() { oldest_ = version_; }
 
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -20,6 +20,8 @@
 constexpr int kBrokenEvent = 4;
 constexpr std::size_t kBrokenBytes = 7;
 constexpr int kSlots = 4;
+/** Longer than any request waits. */
+constexpr std::chrono::milliseconds kVanishedFor{20000};
 constexpr int kWrongUpstream = 421;
 
 bool IsStream(scripted_answer answer) {
@@ -56,12 +58,23 @@
 }
 
 upstream_stand_in::upstream_stand_in(asio::io_context& io, std::string id)
-    : id_(std::move(id)) {
+    : io_(io), id_(std::move(id)) {
+  Listen();
+}
+
+void upstream_stand_in::Listen() {
   server_ = std::make_unique<net::http_server>(
-      std::vector<asio::io_context*>{&io}, "127.0.0.1:0", net::server_options{},
+      std::vector<asio::io_context*>{&io_}, address_, net::server_options{},
       [this](auto request, auto& exchange) {
         return Answer(std::move(request), exchange);
       });
+  address_ = server_->Address();
+}
+
+void upstream_stand_in::Restart() {
+  if (!Runs()) {
+    Listen();
+  }
 }
 
 std::string upstream_stand_in::Entry(const std::string& state) const {
@@ -119,6 +132,14 @@
     co_await Stream(std::move(run), std::move(fields), exchange);
     co_return;
   }
+  if (answer == scripted_answer::crash || answer == scripted_answer::vanish) {
+    server_.reset();
+    if (answer == scripted_answer::vanish) {
+      co_await Wait(kVanishedFor);
+    }
+    exchange.CutOff();
+    co_return;
+  }
   if (work_time.count() > 0) {
     co_await Wait(work_time);
   }
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -31,6 +31,11 @@
   slow_stream,
   /** Sends two events, then a byte now and then of one that never ends. */
   stalled_stream,
+  /** Runs the request and ends the process: listener and connections close. */
+  crash,
+  /** Runs the request and ends without a word: nothing listens any more, and
+   * the connection stays silent. */
+  vanish,
 };
 
 /** @brief A request that an upstream ran. */
@@ -66,7 +71,13 @@
   /** @brief Returns the row by which it registers. */
   [[nodiscard]] std::string Entry(const std::string& state) const;
 
-  [[nodiscard]] std::string Address() const { return server_->Address(); }
+  [[nodiscard]] std::string Address() const { return address_; }
+
+  /** @brief Tells whether its process runs. */
+  [[nodiscard]] bool Runs() const { return server_ != nullptr; }
+
+  /** @brief Starts the process again, under the same id and address. */
+  void Restart();
 
   /** @brief Takes a new id, as another upstream at the same address. */
   void Become(std::string id);
@@ -103,7 +114,11 @@
                                       net::http_fields fields,
                                       net::exchange& exchange);
 
+  void Listen();
+
+  boost::asio::io_context& io_;
   std::string id_;
+  std::string address_{"127.0.0.1:0"};
   std::uint64_t started_at_ms_{5};
   std::uint64_t runs_begun_{};
   std::unique_ptr<net::http_server> server_;
--- a/test/quarantine/crashing_request_test.cc
+++ b/test/quarantine/crashing_request_test.cc
@@ -173,6 +173,20 @@
   }
 }
 
+// An upstream that restarts under its id is another one to each request that
+// ends it; the requests that one crash ended share its name.
+BOOST_AUTO_TEST_CASE(crashes_of_one_name_are_told_apart_by_time) {
+  quarantine::crash_log log;
+  const auto name = [&](std::chrono::milliseconds at) {
+    return quarantine::NameCrash(log, options, "u1", "entry", now + at);
+  };
+  const auto first = name(0ms);
+  BOOST_TEST(name(200ms) == first);
+  const auto second = name(options.one_crash_within + 100ms);
+  BOOST_TEST(second != first);
+  BOOST_TEST(name(options.one_crash_within + 200ms) == second);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/system/deployment.cc
+++ b/test/system/deployment.cc
@@ -79,6 +79,8 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  // A stand-in's listener that the child kept would outlive the stand-in.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> arguments;
   for (const auto& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
--- /dev/null
+++ b/test/system/one_entry.h
@@ -0,0 +1,229 @@
+#ifndef TEST_SYSTEM_ONE_ENTRY_H_
+#define TEST_SYSTEM_ONE_ENTRY_H_
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "net/net.h"
+#include "platform/store_stand_in.h"
+#include "platform/upstream_stand_in.h"
+#include "system/deployment.h"
+
+namespace mimosadeck::system_test {
+
+using namespace std::chrono_literals;
+using platform_test::store_stand_in;
+using platform_test::upstream_stand_in;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+inline constexpr auto kPatience = 10s;
+
+inline json::object Route(const std::string& prefix,
+                          const std::string& kind,
+                          int attempts,
+                          bool resumable) {
+  return {
+      {"name", prefix},  {"host", "h.example"},    {"prefix", prefix},
+      {"kind", kind},    {"timeout_ms", 3000},     {"goal_ms", 300},
+      {"priority", 0},   {"service", "pool"},      {"max_attempts", attempts},
+      {"public", false}, {"can_resume", resumable}};
+}
+
+inline std::string Manifest(int version, const std::string& key) {
+  return json::serialize(
+      json::object{{"version", version},
+                   {"routes",
+                    {Route("/safe/", "safe", 2, false),
+                     Route("/unsafe/", "unsafe", 1, false),
+                     Route("/resume/", "stream", 2, true),
+                     Route("/once/", "stream", 1, false)}},
+                   {"services", {{{"name", "pool"}, {"max_conns", 50}}}},
+                   {"tenants", {{{"name", "parish"}, {"api_keys", {key}}}}}});
+}
+
+/** The same with so many routes more. */
+inline std::string LargeManifest(int version,
+                                 const std::string& key,
+                                 int routes) {
+  auto out = json::parse(Manifest(version, key)).as_object();
+  for (int i = 0; i < routes; ++i) {
+    out["routes"].as_array().push_back(
+        Route("/more-" + std::to_string(i) + "/", "safe", 2, false));
+  }
+  return json::serialize(out);
+}
+
+/** One entry, a store and two upstreams. */
+struct one_entry {
+  using answer = platform_test::scripted_answer;
+  asio::io_context io{1};
+  store_stand_in store{io};
+  upstream_stand_in first{io, "u1"};
+  upstream_stand_in second{io, "u2"};
+  net::connection_cache cache{4};
+  std::filesystem::path settings;
+  std::unique_ptr<process> entry;
+  std::string callers;
+  std::string ready;
+  std::string directory;
+  std::string control;
+
+  one_entry() {
+    store.Put("op", "config", Manifest(1, "k1"));
+    store.Put("servers", "u1", first.Entry("ready"));
+    store.Put("servers", "u2", second.Entry("ready"));
+    Start();
+    BOOST_REQUIRE(
+        Eventually([this] { return Ask(ready, "/v1/ready").status == 200; }));
+  }
+
+  ~one_entry() {
+    entry.reset();
+    std::filesystem::remove(settings);
+  }
+
+  void Start() {
+    settings = std::filesystem::temp_directory_path() /
+               ("edge_test." + std::to_string(getpid()) + ".json");
+    const json::object listen{{"front", "127.0.0.1:0"},
+                              {"ready", "127.0.0.1:0"},
+                              {"control", "127.0.0.1:0"},
+                              {"directory", "127.0.0.1:0"}};
+    const json::object content{
+        {"node_name", "entry-1"},
+        {"ip", "127.0.0.1"},
+        {"zone", "a"},
+        {"listen", listen},
+        {"port_range", {0, 0}},
+        {"bounds", {{"grace_s", 4}}},
+        {"provider", {{"address", store.Address()}}},
+        {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
+    std::ofstream(settings) << json::serialize(content);
+    entry = std::make_unique<process>(
+        "entry",
+        std::vector<std::string>{
+            std::string(std::getenv("MIMOSADECK_BUILD")) + "/apps/mimosadeckd",
+            "--platform", "--metrics-port", "0", settings.string()});
+    const auto line = json::parse(entry->LineWith("\"listening\"")).as_object();
+    callers = json::value_to<std::string>(line.at("callers"));
+    ready = json::value_to<std::string>(line.at("ready"));
+    directory = json::value_to<std::string>(line.at("directory"));
+    control = json::value_to<std::string>(line.at("control"));
+  }
+
+  asio::awaitable<void> Exchange(std::string address,
+                                 net::http_request request,
+                                 net::http_response& out,
+                                 bool& whole) {
+    net::http_call call(cache, io.get_executor());
+    net::call_options options;
+    options.server = address;
+    options.address = std::move(address);
+    options.deadline = std::chrono::steady_clock::now() + kPatience;
+    auto failed = co_await call.Send(std::move(request), std::move(options));
+    if (failed) {
+      co_return;
+    }
+    out.status = call.Status();
+    out.fields = call.Fields();
+    while (true) {
+      auto piece = co_await call.ReadPiece();
+      const auto* bytes = std::get_if<std::string>(&piece);
+      whole = bytes && bytes->empty();
+      if (!bytes || bytes->empty()) {
+        co_return;
+      }
+      out.body += *bytes;
+    }
+  }
+
+  struct reply {
+    int status{};
+    std::string body;
+    net::http_fields fields;
+    bool whole{};
+  };
+
+  reply Send(const std::string& address, net::http_request request) {
+    net::http_response response;
+    response.status = 0;
+    bool whole = false;
+    bool done = false;
+    auto work = Exchange(address, std::move(request), response, whole);
+    asio::co_spawn(io, std::move(work),
+                   [&done](std::exception_ptr) { done = true; });
+    io.restart();
+    while (!done) {
+      io.run_one();
+    }
+    return {response.status, response.body, response.fields, whole};
+  }
+
+  reply Ask(const std::string& address, const std::string& target) {
+    net::http_request request;
+    request.target = target;
+    return Send(address, std::move(request));
+  }
+
+  net::http_request Request(const std::string& target,
+                            const std::string& key = "k1") {
+    ++last_id;
+    net::http_request out;
+    out.method = "POST";
+    out.target = target;
+    out.fields = {{"host", "h.example"},
+                  {"x-request-id", LastId()},
+                  {"x-request-deadline-ms", "2500"},
+                  {"x-tenant", "forged"}};
+    if (!key.empty()) {
+      out.fields["x-api-key"] = key;
+    }
+    out.body = "the body";
+    return out;
+  }
+
+  reply Call(const std::string& target, const std::string& key = "k1") {
+    return Send(callers, Request(target, key));
+  }
+
+  bool Eventually(const std::function<bool()>& holds) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (std::chrono::steady_clock::now() < end) {
+      if (holds()) {
+        return true;
+      }
+      io.restart();
+      io.run_for(20ms);
+    }
+    return false;
+  }
+
+  /** @brief Returns the id of the newest request. */
+  std::string LastId() const { return "id-" + std::to_string(last_id); }
+
+  std::size_t Runs() const { return first.runs.size() + second.runs.size(); }
+
+  void SetAnswers(answer next) { first.next = second.next = next; }
+
+  int last_id{};
+};
+
+}  // namespace mimosadeck::system_test
+
+#endif  // TEST_SYSTEM_ONE_ENTRY_H_
