Keep condemned requests in the store; refuse them for as long as is said

Callers saw: after all entries were killed or lost power, a request known to crash upstreams crashed three more of them.

Cause: condemnation lived in the entries' memory alone, and for 60 s. The class: what must outlast every process was kept in processes.

Fix: the entry that condemns a request by its own evidence writes a row condemned/FINGERPRINT with the time of the last crash, and tries until the store confirms it. A starting entry reads the rows beside those of the members (in a large fleet one in eight does, the others hear from it) and removes those that no longer count. Member rows and these share edge/rows.cc.

Evidence: crashing_request_system_test, condemned_request_is_refused_after_all_entries_- ended: on the daemon before, no row, and the request ran a fourth time; passes here.

--- a/apps/mimosadeckd/edge/crashes.cc
+++ b/apps/mimosadeckd/edge/crashes.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/rows.h"
+
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
@@ -106,6 +108,8 @@
                     {"fingerprint", broken.fingerprint},
                     {"origin", "own attempt"},
                     {"upstream", broken.upstream}});
+    asio::co_spawn(state.io, WriteCondemnedRow(state, broken.fingerprint),
+                   asio::detached);
   }
 }
 
--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -10,9 +10,9 @@
 
 #include "mimosadeckd/edge/duties.h"
 #include "mimosadeckd/edge/gossip.h"
-#include "mimosadeckd/edge/member_rows.h"
 #include "mimosadeckd/edge/observe.h"
 #include "mimosadeckd/edge/requests.h"
+#include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/state.h"
 #include "mimosadeckd/edge/sync.h"
 #include "mimosadeckd/refusal.h"
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "mimosadeckd/edge/member_rows.h"
+#include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/upstream_signs.h"
 #include "net/address.h"
 
@@ -188,6 +188,12 @@
                         told.fingerprint(), known, now)) {
     telemetry::Log(telemetry::level::warning, "request_condemned",
                    {{"fingerprint", told.fingerprint()}, {"origin", origin}});
+    // The teller has not condemned it, so nobody may have written the row.
+    if (!told.condemned() &&
+        quarantine::IsWitnessed(state_.ward, told.fingerprint())) {
+      asio::co_spawn(state_.io, WriteCondemnedRow(state_, told.fingerprint()),
+                     asio::detached);
+    }
   }
 }
 
@@ -483,6 +489,7 @@
   if (is_known && Hash64(state_.machine.name) % internal::kScanners != 0) {
     co_return;
   }
+  co_await ReadCondemnedRows(state_);
   std::function<void(const std::string&)> add =
       [this](const std::string& peer) { AddPeer(peer); };
   co_await ReadMemberRows(state_, std::move(add));
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -13,8 +13,6 @@
 constexpr std::chrono::milliseconds kStartTime{300};
 /** Retry-After of an entry that is stopping: another one serves at once. */
 constexpr std::chrono::milliseconds kElsewhere{50};
-/** Condemned requests may be tried again when the suspicion has faded. */
-constexpr std::chrono::milliseconds kCondemnedTime{10000};
 /** A stopping entry takes no more streams when this part of its time is left,
  * and no more other requests when a third of that is left. */
 constexpr double kStreamPart = 0.5;
@@ -83,9 +81,13 @@
   if (IsTooLateToStart(state, *work.route)) {
     return refusal{result_code::draining, executed::no, kElsewhere, ""};
   }
-  if (!state.ward.suspects.empty() &&
-      quarantine::IsCondemned(state.ward, FingerprintOf(work))) {
-    return refusal{result_code::quarantined, executed::no, kCondemnedTime, ""};
+  if (!state.ward.suspects.empty()) {
+    const auto left =
+        quarantine::CondemnedFor(state.ward, state.quarantine_options,
+                                 FingerprintOf(work), SuspendAwareNow());
+    if (left.count() > 0) {
+      return refusal{result_code::quarantined, executed::no, left, ""};
+    }
   }
   return std::nullopt;
 }
--- a/apps/mimosadeckd/edge/member_rows.h
+++ b/apps/mimosadeckd/edge/rows.h
@@ -1,5 +1,5 @@
-#ifndef APPS_MIMOSADECKD_EDGE_MEMBER_ROWS_H_
-#define APPS_MIMOSADECKD_EDGE_MEMBER_ROWS_H_
+#ifndef APPS_MIMOSADECKD_EDGE_ROWS_H_
+#define APPS_MIMOSADECKD_EDGE_ROWS_H_
 
 #include <functional>
 #include <string>
@@ -27,6 +27,17 @@
     edge_state& state,
     std::function<void(const std::string&)> on_address);
 
+/**
+ * @brief Writes to the store that a request is condemned, for a fleet of which
+ * no process is left; tries until it is confirmed or the daemon stops.
+ */
+[[nodiscard]] asio::awaitable<void> WriteCondemnedRow(edge_state& state,
+                                                      std::string fingerprint);
+
+/** @brief Reads the condemned requests from the store and removes those that
+ * are no longer refused. */
+[[nodiscard]] asio::awaitable<void> ReadCondemnedRows(edge_state& state);
+
 }  // namespace mimosadeck::edge
 
-#endif  // APPS_MIMOSADECKD_EDGE_MEMBER_ROWS_H_
+#endif  // APPS_MIMOSADECKD_EDGE_ROWS_H_
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -17,7 +17,6 @@
 constexpr std::size_t kMostIdleConnections = 16;
 /** Upstreams that must have crashed under a request to condemn it. */
 constexpr std::uint32_t kCrashesToCondemn = 3;
-constexpr std::chrono::milliseconds kSuspectMemory{60000};
 
 platform::client_options ClientOptions(
     const platform::machine_settings& machine) {
@@ -47,7 +46,6 @@
       incarnation(internal::MsSinceEpoch()) {
   quarantine_options.crashes_alone = internal::kCrashesToCondemn;
   quarantine_options.crashes_in_all = internal::kCrashesToCondemn;
-  quarantine_options.forget_after = internal::kSuspectMemory;
   fleet_options.billing_window = this->machine.bounds.billing_window;
   fleet_options.settled_after =
       this->machine.bounds.billing_window + this->machine.bounds.billing_due;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -90,6 +90,7 @@
     if (!entry.crashes.insert(crash).second) {
       continue;
     }
+    entry.witnessed = true;
     entry.crashed_at = now;
     internal::Renew(entry, now);
     if (running.size() == 1) {
@@ -154,6 +155,11 @@
   return found == state.suspects.end() ? 0 : found->second.crashes.size();
 }
 
+bool IsWitnessed(const ward& state, const std::string& fingerprint) {
+  const auto found = state.suspects.find(fingerprint);
+  return found != state.suspects.end() && found->second.witnessed;
+}
+
 std::size_t CondemnedCount(const ward& state) {
   return static_cast<std::size_t>(
       std::count_if(state.suspects.begin(), state.suspects.end(),
@@ -165,6 +171,19 @@
   return found != state.suspects.end() && found->second.condemned;
 }
 
+std::chrono::milliseconds CondemnedFor(const ward& state,
+                                       const options& settings,
+                                       const std::string& fingerprint,
+                                       mono_time now) {
+  const auto found = state.suspects.find(fingerprint);
+  if (found == state.suspects.end() || !found->second.condemned) {
+    return std::chrono::milliseconds(0);
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      found->second.crashed_at + settings.forget_after - now);
+  return std::max(left, std::chrono::milliseconds(1));
+}
+
 bool MustRunAlone(const ward& state, const std::string& fingerprint) {
   return state.suspects.contains(fingerprint);
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -52,6 +52,8 @@
   std::set<std::string> crashes;
   std::set<std::string> crashes_alone;
   bool condemned{};
+  /** This entry has seen one of the crashes itself. */
+  bool witnessed{};
   /** Time of the newest crash. */
   mono_time crashed_at;
   /** When this entry last learned something new. */
@@ -141,6 +143,10 @@
 [[nodiscard]] std::size_t CrashCount(const ward& state,
                                      const std::string& fingerprint);
 
+/** @brief Tells whether this entry itself has seen a crash of a request. */
+[[nodiscard]] bool IsWitnessed(const ward& state,
+                               const std::string& fingerprint);
+
 /** @brief Returns the number of requests that are refused. */
 [[nodiscard]] std::size_t CondemnedCount(const ward& state);
 
@@ -148,6 +154,14 @@
 [[nodiscard]] bool IsCondemned(const ward& state,
                                const std::string& fingerprint);
 
+/** @brief Returns the time for which a request is still refused; zero if it is
+ * not. */
+[[nodiscard]] std::chrono::milliseconds CondemnedFor(
+    const ward& state,
+    const options& settings,
+    const std::string& fingerprint,
+    mono_time now);
+
 /**
  * @brief Tells whether a request must run alone on its upstream, so that a
  * further crash shows whether it is the cause.
--- a/test/system/crashing_request_system_test.cc
+++ b/test/system/crashing_request_system_test.cc
@@ -108,6 +108,22 @@
   BOOST_TEST(Call("/safe/x").status == 200);
 }
 
+// A condemned request was forgotten when all entries were killed at once.
+BOOST_AUTO_TEST_CASE(condemned_request_is_refused_after_all_entries_ended) {
+  EndOn(answer::crash);
+  Poison();
+  BOOST_REQUIRE(AllRuns() == kCrashesToCondemn);
+  BOOST_TEST(Eventually([this] { return store.HasRow("condemned/"); }));
+  entry.reset();
+  Start();
+  BOOST_REQUIRE(
+      Eventually([this] { return Ask(ready, "/v1/ready").status == 200; }));
+  BOOST_TEST(
+      Eventually([this] { return Shows("mimosadeck_condemned_requests", 1); }));
+  BOOST_TEST(Call("/unsafe/poison").status == 503);
+  BOOST_TEST(AllRuns() == kCrashesToCondemn);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
