Tell of leaving upstreams and peers by turns

A digest named the first 16 leaving upstreams and the first 8 members in the order of their names; where more than that leave at once, as when a data centre is taken back, those behind were never told of until the registry dropped the first.

Fix: TakeTurn keeps as many as fit, others in each round. Rounds are counted where they are sent: the number of digests advances by five between two, so that some list sizes would meet the same items again. Looked at and left: billing windows (the newest count), records of members (sent by need, then by turns), summaries (rotated already).

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -297,15 +297,11 @@
       !fleet::IsDense(state_.members, options));
   if (is_full) {
     internal::FillSuspects(state_, *plain.mutable_digest());
-    for (auto& upstream : LeavingToTell(state_)) {
+    for (auto& upstream : LeavingToTell(state_, full_rounds_)) {
       plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
     }
-    std::size_t left = internal::kMostPeersTold;
-    for (const auto& [name, member] : state_.members.by_name) {
-      if (left-- == 0) {
-        break;
-      }
-      plain.mutable_digest()->add_known_peers(member.peer_address);
+    for (auto& peer : PeersToTell()) {
+      plain.mutable_digest()->add_known_peers(std::move(peer));
     }
   }
   auto with_counts = plain;
@@ -327,6 +323,14 @@
   }
 }
 
+std::vector<std::string> gossip::PeersToTell() const {
+  std::vector<std::string> out;
+  for (const auto& [name, member] : state_.members.by_name) {
+    out.push_back(member.peer_address);
+  }
+  return TakeTurn(std::move(out), internal::kMostPeersTold, full_rounds_);
+}
+
 void gossip::SendSummaries(bool is_full) {
   const auto now = SuspendAwareNow();
   auto followers = fleet::Followers(state_.members, state_.fleet_options,
@@ -422,7 +426,7 @@
   wire::digest suspects;
   internal::FillSuspects(state_, suspects);
   *head.mutable_suspects() = suspects.suspects();
-  for (auto& upstream : LeavingToTell(state_)) {
+  for (auto& upstream : LeavingToTell(state_, full_rounds_)) {
     head.add_leaving_upstreams(std::move(upstream));
   }
   for (const auto& each : heard) {
@@ -474,6 +478,7 @@
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
+      ++full_rounds_;
       ForgetGoneUpstreams(state_);
     }
     SendDigests(is_full);
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -41,6 +41,8 @@
   [[nodiscard]] wire::digest MakeDigest();
   void Send(const wire::datagram& content, const std::string& address);
   void SendDigests(bool is_full);
+  /** @brief Returns addresses of other entries, others in each round. */
+  [[nodiscard]] std::vector<std::string> PeersToTell() const;
   void SendSummaries(bool is_full);
   void SendRecords(const std::vector<const fleet::member*>& followers,
                    const wire::digest& own);
@@ -60,6 +62,8 @@
   /** Addresses of other entries, with the time at which each was heard of. */
   std::map<std::string, mono_time> peers_;
   std::uint64_t sequence_{};
+  /** Digests sent with suspects, leaving upstreams and peers. */
+  std::uint64_t full_rounds_{};
   /** Rounds of records sent, and the record of each entry passed on last. */
   std::uint64_t round_{};
   std::map<std::string, wire::digest> passed_on_;
--- a/apps/mimosadeckd/edge/upstream_signs.cc
+++ b/apps/mimosadeckd/edge/upstream_signs.cc
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
 
-/** Leaving upstreams in one digest: more leave together only when whole
- * services are replaced, and the registry tells of them soon after. */
+/** Leaving upstreams in one digest, which keeps it small; more leave together
+ * when a data centre is taken back, and are told of by turns. */
 constexpr std::size_t kMostLeavingTold = 16;
 
 /** @brief Returns the incarnations that the registry lists as ready. */
@@ -92,7 +93,8 @@
   }
 }
 
-std::vector<std::string> LeavingToTell(const edge_state& state) {
+std::vector<std::string> LeavingToTell(const edge_state& state,
+                                       std::uint64_t round) {
   auto out = availability::Leaving(state.availability);
   if (out.empty()) {
     return out;
@@ -100,8 +102,7 @@
   const auto listed = internal::Listed(state);
   std::erase_if(out,
                 [&listed](const auto& each) { return !listed.contains(each); });
-  out.resize(std::min(out.size(), internal::kMostLeavingTold));
-  return out;
+  return TakeTurn(std::move(out), internal::kMostLeavingTold, round);
 }
 
 void ApplyAvailability(edge_state& state) {
--- a/apps/mimosadeckd/edge/upstream_signs.h
+++ b/apps/mimosadeckd/edge/upstream_signs.h
@@ -1,6 +1,7 @@
 #ifndef APPS_MIMOSADECKD_EDGE_UPSTREAM_SIGNS_H_
 #define APPS_MIMOSADECKD_EDGE_UPSTREAM_SIGNS_H_
 
+#include <cstdint>
 #include <string>
 
 #include "mimosadeckd/edge/state.h"
@@ -18,8 +19,12 @@
                  const std::string& incarnation,
                  std::string_view origin);
 
-/** @brief Returns the leaving upstreams that other entries may not know of. */
-[[nodiscard]] std::vector<std::string> LeavingToTell(const edge_state& state);
+/**
+ * @brief Returns leaving upstreams that other entries may not know of.
+ * @param round Counts the messages; each holds others if there are many.
+ */
+[[nodiscard]] std::vector<std::string> LeavingToTell(const edge_state& state,
+                                                     std::uint64_t round);
 
 /** @brief Applies what is known of the upstreams of all pools. */
 void ApplyAvailability(edge_state& state);
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -5,5 +5,6 @@
 #include "base/fwd.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "base/turns.h"
 
 #endif  // BASE_BASE_H_
