Clear a suspect whose request runs to its end

Callers saw: a read that many send could be refused for ten minutes because three upstreams ended, for whatever reason, while it was running there.

Cause: on the platform's path nothing cleared a suspect. The class: evidence is collected for one verdict only.

Fix: an answer or a finished stream clears the crashes known so far at this entry, also if others tell of them again. The fingerprint is computed once a request, and only while there are suspects.

Evidence: crashing_request_test, request_served_between_unrelated_crashes_is_not_refused: refused after the third crash without the clearing, whose names the entry must also remember, since the others tell of them for five seconds; passes here.

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -65,6 +65,13 @@
                           EntryCount(state), SuspendAwareNow());
 }
 
+/** @brief Takes note that the request ran to its end and crashed nothing. */
+void ClearSuspicion(edge_state& state, work& work) {
+  if (!state.ward.suspects.empty()) {
+    quarantine::OnFinished(state.ward, FingerprintOf(work));
+  }
+}
+
 /** @brief Returns when a refused caller should come back. */
 std::chrono::milliseconds ComeBackAfter(const edge_state& state,
                                         const work& work) {
@@ -209,12 +216,14 @@
         co_await RunAttempt(state, work, std::move(chosen), exchange);
     work->attempts += (work->attempts.empty() ? "" : " ") + ticket->entry->id;
     if (auto* whole = std::get_if<whole_answer>(&outcome)) {
+      internal::ClearSuspicion(state, *work);
       const auto status = whole->response.status;
       co_await exchange.Respond(std::move(whole->response));
       LogEnd(state, *work, status, whole->is_good ? "served" : "passed_on");
       co_return;
     }
     if (std::holds_alternative<stream_done>(outcome)) {
+      internal::ClearSuspicion(state, *work);
       const bool ended = co_await exchange.EndStream();
       LogEnd(state, *work, 200, ended ? "served" : "caller_left");
       co_return;
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -95,11 +95,13 @@
 }  // namespace
 }  // namespace internal
 
-std::string FingerprintOf(const work& work) {
-  std::string text = work.received.method;
-  text.append(" ").append(work.received.target).append("\n");
-  text.append(work.received.body);
-  return quarantine::Fingerprint(work.AccountName(), text);
+const std::string& FingerprintOf(work& work) {
+  if (work.fingerprint.empty()) {
+    const auto& received = work.received;
+    work.fingerprint = quarantine::Fingerprint(
+        work.AccountName(), received.method, received.target, received.body);
+  }
+  return work.fingerprint;
 }
 
 asio::awaitable<void> ServeCaller(edge_state& state,
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -31,6 +31,8 @@
   answer::event_framer events;
   /** Upstreams that were tried, by incarnation. */
   std::set<std::string> tried;
+  /** Computed when it is first asked for. */
+  std::string fingerprint;
   /** Upstreams and how each attempt ended, for the log. */
   std::string attempts;
   std::optional<std::chrono::milliseconds> expected;
@@ -87,7 +89,7 @@
             std::string_view outcome);
 
 /** @brief Identifies requests that are the same to an upstream. */
-[[nodiscard]] std::string FingerprintOf(const work& work);
+[[nodiscard]] const std::string& FingerprintOf(work& work);
 
 }  // namespace mimosadeck::edge
 
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -23,6 +23,13 @@
   entry.times_told = 0;
 }
 
+void AddUncleared(const suspect& entry,
+                  const std::set<std::string>& from,
+                  std::set<std::string>& to) {
+  std::set_difference(from.begin(), from.end(), entry.cleared.begin(),
+                      entry.cleared.end(), std::inserter(to, to.end()));
+}
+
 /** @brief Orders by crashes, the most first, then by how often others were
  * told. */
 bool GoesFirst(const suspect_entry* a, const suspect_entry* b) {
@@ -68,17 +75,6 @@
          std::string(observer);
 }
 
-std::string Fingerprint(std::string_view account,
-                        std::string_view method,
-                        std::string_view target,
-                        std::string_view body) {
-  std::string text(method);
-  text.append(" ");
-  text.append(body.empty() ? target : target.substr(0, target.find('?')));
-  text.append("\n").append(body);
-  return Fingerprint(account, text);
-}
-
 std::vector<std::string> OnCrash(ward& state,
                                  const options& settings,
                                  const std::string& crash,
@@ -104,9 +100,13 @@
 
 void OnFinished(ward& state, const std::string& fingerprint) {
   const auto found = state.suspects.find(fingerprint);
-  if (found != state.suspects.end() && !found->second.condemned) {
-    state.suspects.erase(found);
+  if (found == state.suspects.end() || found->second.condemned) {
+    return;
   }
+  auto& entry = found->second;
+  entry.cleared.merge(entry.crashes);
+  entry.crashes.clear();
+  entry.crashes_alone.clear();
 }
 
 bool Merge(ward& state,
@@ -120,9 +120,8 @@
   auto& entry = state.suspects[fingerprint];
   const auto crashes_before = entry.crashes.size();
   const bool was_condemned = entry.condemned;
-  entry.crashes.insert(known.crashes.begin(), known.crashes.end());
-  entry.crashes_alone.insert(known.crashes_alone.begin(),
-                             known.crashes_alone.end());
+  internal::AddUncleared(entry, known.crashes, entry.crashes);
+  internal::AddUncleared(entry, known.crashes_alone, entry.crashes_alone);
   entry.condemned = entry.condemned || known.condemned;
   entry.crashed_at = std::max(entry.crashed_at, known.crashed_at);
   internal::Judge(entry, settings);
@@ -139,7 +138,8 @@
   for (auto& each : state.suspects) {
     if (each.second.condemned) {
       condemned.push_back(&each);
-    } else if (now - each.second.learned_at <= settings.told_for) {
+    } else if (!each.second.crashes.empty() &&
+               now - each.second.learned_at <= settings.told_for) {
       others.push_back(&each);
     }
   }
@@ -185,7 +185,7 @@
 }
 
 bool MustRunAlone(const ward& state, const std::string& fingerprint) {
-  return state.suspects.contains(fingerprint);
+  return IsCondemned(state, fingerprint) || CrashCount(state, fingerprint) > 0;
 }
 
 void Tick(ward& state, const options& settings, mono_time now) {
@@ -201,4 +201,3 @@
 }
 
 }  // namespace mimosadeck::quarantine
-
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -51,6 +51,8 @@
 struct suspect {
   std::set<std::string> crashes;
   std::set<std::string> crashes_alone;
+  /** Crashes that the request did not cause: it ran to its end afterwards. */
+  std::set<std::string> cleared;
   bool condemned{};
   /** This entry has seen one of the crashes itself. */
   bool witnessed{};
@@ -102,7 +104,11 @@
     const std::set<std::string>& running,
     mono_time now);
 
-/** @brief Clears a suspect whose request ran to its end. */
+/**
+ * @brief Clears a suspect whose request ran to its end.
+ *
+ * Crashes known so far no longer count here, also if others tell of them again.
+ */
 void OnFinished(ward& state, const std::string& fingerprint);
 
 /**
--- a/test/quarantine/crashing_request_test.cc
+++ b/test/quarantine/crashing_request_test.cc
@@ -173,6 +173,19 @@
   }
 }
 
+// A read that many send was running at three crashes that it did not cause.
+BOOST_AUTO_TEST_CASE(request_served_between_unrelated_crashes_is_not_refused) {
+  const std::string read = "b0b0";
+  for (int i = 0; i < 2 * kCrashesToCondemn; ++i) {
+    for (auto& each : entries) {
+      BOOST_TEST(!quarantine::IsCondemned(each.ward, read));
+      quarantine::OnFinished(each.ward, read);
+    }
+    Crash(entries[static_cast<std::size_t>(i)], read);
+    Pass(2s);
+  }
+}
+
 // An upstream that restarts under its id is another one to each request that
 // ends it; the requests that one crash ended share its name.
 BOOST_AUTO_TEST_CASE(crashes_of_one_name_are_told_apart_by_time) {
