Ask before each repeat whether a request is condemned; ignore the query of a body

Callers saw: a request that was running when equal ones were condemned went on to one more upstream, and one that came again with another query passed for another request.

Cause: the verdict was asked for on arrival only; the fingerprint held the whole target, though path, caller and body make the request.

Fix: a repeat needs the verdict too. Of a request with a body the query does not count; without a body it does, since it is all that tells two reads apart.

Evidence: crashing_request_system_test, request_condemned_while_it_runs_is_not_sent_again, and quarantine_test, fingerprint_of_a_body_does_not_depend_on_the_query, pass.

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -51,13 +51,17 @@
 }
 
 /** @brief Tells whether the request may be sent once more. */
-bool IsCovered(edge_state& state, const work& work, attempt_end ended) {
+bool IsCovered(edge_state& state, work& work, attempt_end ended) {
   if (work.caller_left || steady::now() >= work.deadline) {
     return false;
   }
   if (!forwarding::MayRepeat(work.progress, {}, *work.route, ended)) {
     return false;
   }
+  if (!state.ward.suspects.empty() &&
+      quarantine::IsCondemned(state.ward, FingerprintOf(work))) {
+    return false;
+  }
   if (ended == attempt_end::not_connected) {
     return true;
   }
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -75,6 +75,17 @@
          std::string(observer);
 }
 
+std::string Fingerprint(std::string_view account,
+                        std::string_view method,
+                        std::string_view target,
+                        std::string_view body) {
+  std::string text(method);
+  text.append(" ");
+  text.append(body.empty() ? target : target.substr(0, target.find('?')));
+  text.append("\n").append(body);
+  return Fingerprint(account, text);
+}
+
 std::vector<std::string> OnCrash(ward& state,
                                  const options& settings,
                                  const std::string& crash,
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -77,6 +77,17 @@
 [[nodiscard]] std::string Fingerprint(std::string_view account,
                                       std::string_view body);
 
+/**
+ * @brief Computes the fingerprint of an HTTP request.
+ *
+ * A request with a body is the same whatever its query says; without one the
+ * query tells requests apart.
+ */
+[[nodiscard]] std::string Fingerprint(std::string_view account,
+                                      std::string_view method,
+                                      std::string_view target,
+                                      std::string_view body);
+
 /**
  * @brief Names a crash by its upstream, its observer and its number.
  *
--- a/test/quarantine/quarantine_test.cc
+++ b/test/quarantine/quarantine_test.cc
@@ -89,6 +89,18 @@
              quarantine::Fingerprint("a", "y"));
 }
 
+// A request that came again with another query passed for another request.
+BOOST_AUTO_TEST_CASE(fingerprint_of_a_body_does_not_depend_on_the_query) {
+  const auto of = [](std::string_view method, std::string_view target,
+                     std::string_view body) {
+    return quarantine::Fingerprint("a", method, target, body);
+  };
+  BOOST_TEST(of("POST", "/x?n=1", "b") == of("POST", "/x?n=2", "b"));
+  BOOST_TEST(of("POST", "/x", "b") != of("POST", "/y", "b"));
+  BOOST_TEST(of("POST", "/x", "b") != of("POST", "/x", "c"));
+  BOOST_TEST(of("GET", "/x?n=1", "") != of("GET", "/x?n=2", ""));
+}
+
 BOOST_AUTO_TEST_CASE(suspect_old_is_forgotten) {
   Crash("c1", {"x"});
   quarantine::Tick(ward, options, now + options.forget_after + 1ms);
--- a/test/system/crashing_request_system_test.cc
+++ b/test/system/crashing_request_system_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE crashing_request_system
 #include <boost/test/included/unit_test.hpp>
 
+#include <exception>
 #include <string>
+#include <utility>
 
 #include "system/one_entry.h"
 
@@ -17,6 +19,9 @@
 /** Upstreams take longer to start again. */
 constexpr auto kRestartTime = 1200ms;
 
+/** Work of a request that runs while equal ones are condemned. */
+constexpr auto kHeldTime = 2000ms;
+
 /** Upstreams that end when they run a certain request. */
 struct crashing_upstreams : one_entry {
   upstream_stand_in third{io, "u3"};
@@ -124,6 +129,35 @@
   BOOST_TEST(AllRuns() == kCrashesToCondemn);
 }
 
+// The verdict was asked for on arrival only, so that a request which was
+// running when it was condemned went on to another upstream.
+BOOST_AUTO_TEST_CASE(request_condemned_while_it_runs_is_not_sent_again) {
+  bool is_held = false;
+  for (auto* each : {&first, &second, &third}) {
+    each->work_time = kHeldTime;
+    each->choose = [&is_held](const net::http_request&) {
+      return std::exchange(is_held, true) ? answer::crash : answer::broken;
+    };
+  }
+  net::http_response response;
+  bool whole = false;
+  bool is_done = false;
+  auto held = Exchange(callers, Request("/resume/poison"), response, whole);
+  asio::co_spawn(io, std::move(held),
+                 [&is_done](std::exception_ptr) { is_done = true; });
+  BOOST_REQUIRE(Eventually([this] { return AllRuns() == 1; }));
+  while (!Shows("mimosadeck_condemned_requests", 1)) {
+    Call("/resume/poison");
+  }
+  const auto runs = AllRuns();
+  for (auto* each : {&first, &second, &third}) {
+    each->Restart();
+  }
+  BOOST_REQUIRE(!is_done);
+  BOOST_TEST(Eventually([&is_done] { return is_done; }));
+  BOOST_TEST(AllRuns() == runs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
