Give up answers without an end before they fill the memory

Cause: an upstream in trouble may send bytes that are no answer until its caller closes. Beast's buffer had no limit, so the framing of one chunk could grow until the time limit; a stray answer was skipped however long it was; an event without an end was collected for as long as the request may wait; whole answers had 16 MB each and no limit together.

Fix: 256 KB of read-ahead a connection, eight interim responses, 1 MB of a stray answer, 1 MB an event, and a quarter of the machine's memory for answers not passed on yet. The call fails and the connection closes.

Evidence: http_call_test, answer_without_end_is_given_up (eight ways to go on for ever): chunk extensions and the skipped answer failed on the code before, the other six passed. edge_test, stream_with_an_endless_event_is_given_up: 64 MB were taken before (all that the stand-in sends), below 16 MB now. The shared memory bound has no test of its own.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -23,9 +23,41 @@
 constexpr std::chrono::milliseconds kLongestIdleOnce{500};
 constexpr std::chrono::milliseconds kLongestIdle{5000};
 constexpr std::size_t kMostAnswerBytes = 16U << 20U;
+/** Part of the machine's memory for answers that are not passed on yet. */
+constexpr std::uint64_t kAnswerMemoryPart = 4;
+/** The same where the machine's memory is not known. */
+constexpr std::uint64_t kAnswerMemoryBytes = 64U << 20U;
+constexpr std::uint64_t kBytesPerMb = 1U << 20U;
+/** Events hold some tokens; one that grows beyond this has no end. */
+constexpr std::size_t kMostEventBytes = 1U << 20U;
 /** Answers of other requests that are skipped on a connection. */
 constexpr int kMostStrayAnswers = 2;
 constexpr int kFirstServerError = 500;
+
+std::uint64_t AnswerMemory(const platform::machine_settings& machine) {
+  return machine.memory_mb == 0
+             ? kAnswerMemoryBytes
+             : machine.memory_mb * kBytesPerMb / kAnswerMemoryPart;
+}
+
+/** @brief Bytes of one answer among those that all answers may hold. */
+class held_bytes {
+ public:
+  explicit held_bytes(std::uint64_t& all) : all_(all) {}
+  ~held_bytes() { all_ -= own_; }
+  held_bytes(const held_bytes&) = delete;
+  held_bytes& operator=(const held_bytes&) = delete;
+
+  void Add(std::uint64_t bytes) {
+    own_ += bytes;
+    all_ += bytes;
+  }
+
+ private:
+  std::uint64_t& all_;
+  std::uint64_t own_{};
+};
+
 /** @brief One attempt at one upstream. */
 class attempt {
  public:
@@ -101,7 +133,7 @@
   }
 
   asio::awaitable<attempt_result> TakeWhole(platform::upstream_answer answer) {
-    auto body = co_await call_.ReadBody(kMostAnswerBytes);
+    auto body = co_await ReadAnswer();
     if (const auto* failed = std::get_if<net::call_failure>(&body)) {
       co_return Failure(*failed);
     }
@@ -129,6 +161,30 @@
     co_return whole_answer{std::move(response), is_success};
   }
 
+  /** Reads an answer whole, within the memory that all answers share. */
+  asio::awaitable<net::http_call::piece> ReadAnswer() {
+    held_bytes held(state_.answer_bytes);
+    std::string body;
+    while (true) {
+      auto piece = co_await call_.ReadPiece();
+      if (std::holds_alternative<net::call_failure>(piece)) {
+        co_return piece;
+      }
+      const auto& bytes = std::get<std::string>(piece);
+      if (bytes.empty()) {
+        co_return body;
+      }
+      held.Add(bytes.size());
+      body += bytes;
+      if (body.size() > kMostAnswerBytes ||
+          state_.answer_bytes > AnswerMemory(state_.machine)) {
+        call_.Close();
+        co_return net::call_failure{net::call_progress::sent, false,
+                                    "answer too large"};
+      }
+    }
+  }
+
   asio::awaitable<attempt_result> PassStreamOn() {
     ExpectEvent();
     while (true) {
@@ -142,6 +198,11 @@
         break;
       }
       auto whole = answer::TakeWholeEvents(work_->events, bytes);
+      if (work_->events.rest.size() > kMostEventBytes) {
+        call_.Close();
+        work_->events.rest.clear();
+        co_return Failure({net::call_progress::sent, false, "event too large"});
+      }
       if (whole.empty()) {
         continue;
       }
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -76,6 +76,8 @@
   availability::book availability;
   availability::options availability_options;
   std::map<std::string, retry::budget, std::less<>> budgets;
+  /** Bytes of answers that are read but not passed on yet. */
+  std::uint64_t answer_bytes{};
   quarantine::ward ward;
   quarantine::options quarantine_options;
   quarantine::crash_log crashes;
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -28,6 +28,14 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
 constexpr std::uint32_t kHeadLimitBytes = 64U * 1024U;
+/** Bytes read ahead; a head and a piece of the body fit. Framing that never
+ * ends, such as that of a chunk, fails when it is full. */
+constexpr std::size_t kReadAheadBytes = 4 * kHeadLimitBytes;
+/** Interim responses (1xx) before the final one; servers send one or two. */
+constexpr int kMostInterimResponses = 8;
+/** Bytes of a response that is dropped to reach the next one; opening another
+ * connection is cheaper than reading more. */
+constexpr std::size_t kMostSkippedBytes = 1U << 20U;
 /** A kept connection rests at most this part of the server's time. */
 constexpr double kKeepAlivePart = 0.7;
 
@@ -38,7 +46,7 @@
 struct connection {
   explicit connection(const asio::any_io_executor& where) : stream(where) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kReadAheadBytes};
   steady::time_point idle_since;
   /** Responses whose head was read. */
   std::uint64_t responses{};
@@ -209,7 +217,13 @@
   }
 
   asio::awaitable<std::optional<call_failure>> ReadHead() {
+    int heads = 0;
     do {
+      if (heads++ > internal::kMostInterimResponses) {
+        Drop();
+        co_return call_failure{call_progress::sent, false,
+                               "too many interim responses"};
+      }
       parser.emplace();
       parser->body_limit(boost::none);
       parser->skip(sending->message.method() == http::verb::head);
@@ -226,6 +240,12 @@
     co_return std::nullopt;
   }
 
+  /** Closes the connection; the peer gets no more to send. */
+  void Drop() {
+    is_closed = true;
+    line->stream.close();
+  }
+
   void Finish() {
     const bool reusable = !is_closed && parser->get().keep_alive() &&
                           sending->written && line->buffer.size() == 0;
@@ -271,15 +291,22 @@
 asio::awaitable<std::optional<call_failure>> http_call::SkipToNext() {
   const auto self = impl_;
   std::string bytes(internal::kPieceBytes, '\0');
+  std::size_t skipped = 0;
   while (!self->parser->is_done()) {
     self->parser->get().body().data = bytes.data();
     self->parser->get().body().size = bytes.size();
     error_code failure;
-    co_await http::async_read_some(self->line->stream, self->line->buffer,
-                                   *self->parser, internal::Redirect(failure));
+    skipped += co_await http::async_read_some(self->line->stream,
+                                              self->line->buffer, *self->parser,
+                                              internal::Redirect(failure));
     if (self->is_closed || (failure && failure != http::error::need_buffer)) {
       co_return internal::Failure(call_progress::sent, failure);
     }
+    if (skipped > internal::kMostSkippedBytes) {
+      self->Drop();
+      co_return call_failure{call_progress::sent, false,
+                             "another response is too large to skip"};
+    }
   }
   if (!self->parser->get().keep_alive()) {
     co_return call_failure{call_progress::sent, false, "closed by the server"};
--- a/test/net/http_call_test.cc
+++ b/test/net/http_call_test.cc
@@ -105,6 +105,65 @@
   }
 };
 
+/** A server whose answer goes on until the caller closes. */
+struct endless_server : scripted_server {
+  /** More than any bound of a caller and all buffers in between. */
+  static constexpr std::size_t kMostSent = 32U << 20U;
+  static constexpr std::size_t kMostTaken = 8U << 20U;
+  std::string begin;
+  std::string rest;
+  std::size_t sent{};
+
+  endless_server() { scripts.clear(); }
+
+  asio::awaitable<void> Flood() {
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string buffer;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer),
+                                    "\r\n\r\n", asio::use_awaitable);
+    boost::system::error_code failure;
+    co_await asio::async_write(
+        socket, asio::buffer(begin),
+        asio::redirect_error(asio::use_awaitable, failure));
+    while (!failure && sent < kMostSent) {
+      sent += co_await asio::async_write(
+          socket, asio::buffer(rest),
+          asio::redirect_error(asio::use_awaitable, failure));
+    }
+  }
+
+  asio::awaitable<void> Read(bool skips, net::http_call::piece& out) {
+    net::http_call call(cache, io.get_executor());
+    net::http_request request;
+    auto options = Options();
+    auto failed = co_await call.Send(std::move(request), std::move(options));
+    if (!failed && skips) {
+      failed = co_await call.SkipToNext();
+    }
+    if (failed) {
+      out = *failed;
+      co_return;
+    }
+    out = co_await call.ReadBody(1000);
+  }
+
+  /** Tells whether the call failed before it had taken much. */
+  bool IsGivenUp(std::string first, const std::string& unit, bool skips) {
+    constexpr std::size_t kUnitBytes = 64U << 10U;
+    begin = std::move(first);
+    rest.clear();
+    while (rest.size() < kUnitBytes) {
+      rest += unit;
+    }
+    sent = 0;
+    net::http_call::piece out;
+    asio::co_spawn(io, Flood(), asio::detached);
+    Run([&] { return Read(skips, out); });
+    const auto* failed = std::get_if<net::call_failure>(&out);
+    return failed && !failed->silent && sent < kMostTaken;
+  }
+};
+
 bool IsText(const net::http_call::piece& answer, const std::string& text) {
   const auto* body = std::get_if<std::string>(&answer);
   return body && *body == text;
@@ -222,4 +281,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(endless_answers, endless_server)
+
+// Bytes that are no answer may come without end; a caller that reads on runs
+// out of memory or spends all its time on them.
+BOOST_AUTO_TEST_CASE(answer_without_end_is_given_up) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "4\r\nabcd\r\n";
+  acceptor.cancel();
+  BOOST_TEST(IsGivenUp("HTTP/1.1 200 OK\r\n", "a: b\r\n", false));
+  BOOST_TEST(IsGivenUp("HTTP/1.1 200 ", "k", false));
+  BOOST_TEST(IsGivenUp("", "HTTP/1.1 100 Continue\r\n\r\n", false));
+  BOOST_TEST(IsGivenUp(chunked, chunk, false));
+  BOOST_TEST(IsGivenUp(chunked + "4;", "x=y;", false));
+  BOOST_TEST(IsGivenUp(chunked + "0\r\n", "a: b\r\n", false));
+  BOOST_TEST(IsGivenUp("HTTP/1.1 200 OK\r\n\r\n", "x", false));
+  BOOST_TEST(IsGivenUp(chunked, chunk, true));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -20,6 +20,9 @@
 constexpr int kBrokenEvent = 4;
 constexpr std::size_t kBrokenBytes = 7;
 constexpr int kSlots = 4;
+constexpr std::size_t kEndlessPieceBytes = 64U << 10U;
+/** The loop ends by itself where the caller never does. */
+constexpr std::size_t kMostEndlessBytes = 64U << 20U;
 /** Longer than any request waits. */
 constexpr std::chrono::milliseconds kVanishedFor{20000};
 constexpr int kWrongUpstream = 421;
@@ -28,7 +31,8 @@
   return answer == scripted_answer::stream ||
          answer == scripted_answer::broken_stream ||
          answer == scripted_answer::slow_stream ||
-         answer == scripted_answer::stalled_stream;
+         answer == scripted_answer::stalled_stream ||
+         answer == scripted_answer::endless_event;
 }
 
 net::http_response NotRun(int status, net::http_fields fields) {
@@ -171,6 +175,17 @@
   }
 }
 
+asio::awaitable<void> upstream_stand_in::Flood(std::shared_ptr<bool> gone,
+                                               net::exchange& exchange) {
+  bool is_taken = true;
+  while (is_taken && !*gone && endless_bytes < kMostEndlessBytes) {
+    std::string bytes(kEndlessPieceBytes, 'd');
+    is_taken = co_await exchange.WriteChunk(std::move(bytes));
+    endless_bytes += kEndlessPieceBytes;
+  }
+  exchange.CutOff();
+}
+
 asio::awaitable<void> upstream_stand_in::Stream(upstream_run run,
                                                 net::http_fields fields,
                                                 net::exchange& exchange) {
@@ -180,6 +195,10 @@
       net::FieldOf(run.request.fields, "x-request-id"));
   fields["content-type"] = "text/event-stream";
   co_await exchange.BeginStream(200, std::move(fields));
+  if (run.answer == scripted_answer::endless_event) {
+    co_await Flood(gone, exchange);
+    co_return;
+  }
   const auto after = net::FieldOf(run.request.fields, "last-event-id");
   const int first = after.empty() ? 1 : std::stoi(std::string(after)) + 1;
   const bool breaks =
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -31,6 +31,8 @@
   slow_stream,
   /** Sends two events, then a byte now and then of one that never ends. */
   stalled_stream,
+  /** Sends bytes of one event until its caller closes. */
+  endless_event,
   /** Runs the request and ends the process: listener and connections close. */
   crash,
   /** Runs the request and ends without a word: nothing listens any more, and
@@ -101,6 +103,8 @@
   int arrivals{};
   std::vector<upstream_run> runs;
   bool caller_left{};
+  /** Bytes of endless events that were sent. */
+  std::size_t endless_bytes{};
   /** Address under which it registers, if that is not its own. */
   std::string advertised;
   std::string data_centre{"a"};
@@ -110,6 +114,8 @@
                                       net::exchange& exchange);
   static boost::asio::awaitable<void> Trickle(std::shared_ptr<bool> gone,
                                               net::exchange& exchange);
+  boost::asio::awaitable<void> Flood(std::shared_ptr<bool> gone,
+                                     net::exchange& exchange);
   boost::asio::awaitable<void> Stream(upstream_run run,
                                       net::http_fields fields,
                                       net::exchange& exchange);
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -213,6 +213,16 @@
   BOOST_TEST(Runs() == 2);
 }
 
+// An event without an end filled the entry's memory until its time was over.
+BOOST_AUTO_TEST_CASE(stream_with_an_endless_event_is_given_up) {
+  constexpr std::size_t kMostTaken = 16U << 20U;
+  SetAnswers(answer::endless_event);
+  BOOST_TEST(Call("/once/x").status == 502);
+  BOOST_TEST(first.endless_bytes + second.endless_bytes < kMostTaken);
+  SetAnswers(answer::good);
+  BOOST_TEST(Call("/safe/x").status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(stream_that_cannot_go_on_does_not_look_complete) {
   SetAnswers(answer::broken_stream);
   const auto got = Call("/once/x");
