Take a request in a planned stop only if such requests end before the process does

Cause: whether a request was taken in a stop was decided by a fixed part of the grace for each kind of request, however long such requests last; the part counted to the end of the grace though the process ends 0.4 s before.

Fix: forwarding::service_times remembers how long the last 64 requests of each route took, and the ages of those that run. A request is taken while 1.3 times the longest of these is left. Before eight were seen the parts decide as before. Others are told to go elsewhere at once (503, 50 ms, not run).

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -43,18 +43,19 @@
 /** @brief Bytes of one answer among those that all answers may hold. */
 class held_bytes {
  public:
-  explicit held_bytes(std::uint64_t& all) : all_(all) {}
-  ~held_bytes() { all_ -= own_; }
+  explicit held_bytes(std::shared_ptr<std::uint64_t> all)
+      : all_(std::move(all)) {}
+  ~held_bytes() { *all_ -= own_; }
   held_bytes(const held_bytes&) = delete;
   held_bytes& operator=(const held_bytes&) = delete;
 
   void Add(std::uint64_t bytes) {
     own_ += bytes;
-    all_ += bytes;
+    *all_ += bytes;
   }
 
  private:
-  std::uint64_t& all_;
+  std::shared_ptr<std::uint64_t> all_;
   std::uint64_t own_{};
 };
 
@@ -177,7 +178,7 @@
       held.Add(bytes.size());
       body += bytes;
       if (body.size() > kMostAnswerBytes ||
-          state_.answer_bytes > AnswerMemory(state_.machine)) {
+          *state_.answer_bytes > AnswerMemory(state_.machine)) {
         call_.Close();
         co_return net::call_failure{net::call_progress::sent, false,
                                     "answer too large"};
--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -25,8 +25,6 @@
 constexpr std::chrono::milliseconds kDirectoryTtl{1000};
 /** Callers keep an answer for up to three times as long. */
 constexpr int kDirectoryTtlFactor = 3;
-/** Part of the stop's time that is left when the process ends by itself. */
-constexpr std::chrono::milliseconds kStopReserve{400};
 constexpr std::chrono::milliseconds kStopPoll{50};
 /** Callers reuse connections up to the idle limit that they know, which a new
  * manifest may have lowered here. */
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -69,6 +69,46 @@
                           EntryCount(state), SuspendAwareNow());
 }
 
+/** Routes whose times are kept; manifests add and remove some all the time. */
+constexpr std::size_t kMostRoutesTimed = 4096;
+
+std::shared_ptr<forwarding::service_times> TimesOf(edge_state& state,
+                                                   const std::string& route) {
+  auto& all = state.service_times;
+  if (all.size() >= kMostRoutesTimed && !all.contains(route)) {
+    all.clear();
+  }
+  auto& found = all[route];
+  if (!found) {
+    found = std::make_shared<forwarding::service_times>();
+  }
+  return found;
+}
+
+/** @brief Takes the time of a request from its first attempt to its end. */
+class timed_request {
+ public:
+  timed_request(std::shared_ptr<forwarding::service_times> times,
+                const forwarding::service_time_options& options)
+      : times_(std::move(times)), options_(options), began_(SuspendAwareNow()) {
+    forwarding::OnBegan(*times_, began_);
+  }
+  ~timed_request() {
+    forwarding::OnEnded(*times_, options_, began_, is_served_,
+                        SuspendAwareNow());
+  }
+  timed_request(const timed_request&) = delete;
+  timed_request& operator=(const timed_request&) = delete;
+
+  void OnServed() { is_served_ = true; }
+
+ private:
+  std::shared_ptr<forwarding::service_times> times_;
+  forwarding::service_time_options options_;
+  mono_time began_;
+  bool is_served_{};
+};
+
 /** @brief Takes note that the request ran to its end and crashed nothing. */
 void ClearSuspicion(edge_state& state, work& work) {
   if (!state.ward.suspects.empty()) {
@@ -200,6 +240,8 @@
   using forwarding::next_step;
   retry::OnFirstArrival(state.budgets[work->service], internal::LimitOf(state),
                         EntryCount(state), SuspendAwareNow());
+  internal::timed_request timed(internal::TimesOf(state, work->route->name),
+                                state.service_time_options);
   while (true) {
     const auto ticket = placement::Choose(
         state.pools[work->service], state.placement_options, work->job,
@@ -223,12 +265,14 @@
       internal::ClearSuspicion(state, *work);
       const auto status = whole->response.status;
       co_await exchange.Respond(std::move(whole->response));
+      timed.OnServed();
       LogEnd(state, *work, status, whole->is_good ? "served" : "passed_on");
       co_return;
     }
     if (std::holds_alternative<stream_done>(outcome)) {
       internal::ClearSuspicion(state, *work);
       const bool ended = co_await exchange.EndStream();
+      timed.OnServed();
       LogEnd(state, *work, 200, ended ? "served" : "caller_left");
       co_return;
     }
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -13,10 +13,6 @@
 constexpr std::chrono::milliseconds kStartTime{300};
 /** Retry-After of an entry that is stopping: another one serves at once. */
 constexpr std::chrono::milliseconds kElsewhere{50};
-/** A stopping entry takes no more streams when this part of its time is left,
- * and no more other requests when a third of that is left. */
-constexpr double kStreamPart = 0.5;
-constexpr double kShortRequestPart = kStreamPart / 3;
 /** Part of an answer's greatest length that is expected without a hint. */
 constexpr double kExpectedLengthPart = 0.5;
 
@@ -46,12 +42,16 @@
   if (!state.draining_since) {
     return false;
   }
-  const auto grace = state.machine.bounds.stop_grace;
-  const auto left = *state.draining_since + grace - SuspendAwareNow();
-  const double part = route.kind == routing::request_kind::stream
-                          ? kStreamPart
-                          : kShortRequestPart;
-  return left < std::chrono::duration<double>(grace) * part;
+  const auto now = SuspendAwareNow();
+  forwarding::stop_window stop;
+  stop.whole = state.machine.bounds.stop_grace - kStopReserve;
+  stop.left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      *state.draining_since + stop.whole - now);
+  const auto known = state.service_times.find(route.name);
+  return !forwarding::EndsBeforeStop(
+      known == state.service_times.end() ? forwarding::service_times{}
+                                         : *known->second,
+      state.service_time_options, route.kind, stop, now);
 }
 
 /** @brief Finds the route and the account; says why a request is refused. */
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -14,6 +14,7 @@
 #include "availability/availability.h"
 #include "base/base.h"
 #include "fleet/fleet.h"
+#include "forwarding/forwarding.h"
 #include "lease/lease.h"
 #include "metering/metering.h"
 #include "net/net.h"
@@ -30,6 +31,10 @@
 
 namespace asio = boost::asio;
 
+/** Part of a planned stop's time that is left when the process ends by itself.
+ */
+inline constexpr std::chrono::milliseconds kStopReserve{400};
+
 /** @brief An attempt that ended as if its upstream had. */
 struct broken_attempt {
   std::string request;
@@ -76,8 +81,13 @@
   availability::book availability;
   availability::options availability_options;
   std::map<std::string, retry::budget, std::less<>> budgets;
+  /** By route; requests that outlive the event loop hold theirs. */
+  std::map<std::string, std::shared_ptr<forwarding::service_times>, std::less<>>
+      service_times;
+  forwarding::service_time_options service_time_options;
   /** Bytes of answers that are read but not passed on yet. */
-  std::uint64_t answer_bytes{};
+  std::shared_ptr<std::uint64_t> answer_bytes{
+      std::make_shared<std::uint64_t>(0)};
   quarantine::ward ward;
   quarantine::options quarantine_options;
   quarantine::crash_log crashes;
--- /dev/null
+++ b/src/forwarding/service_time.h
@@ -0,0 +1,75 @@
+#ifndef FORWARDING_SERVICE_TIME_H_
+#define FORWARDING_SERVICE_TIME_H_
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <set>
+
+#include "base/time.h"
+#include "routing/routing.h"
+
+namespace mimosadeck::forwarding {
+
+/** @brief How long the requests of one route take at this entry. */
+struct service_times {
+  /** Of the requests served last, oldest first. */
+  std::deque<std::chrono::milliseconds> served;
+  /** Starts of the requests that run now. */
+  std::multiset<mono_time> running;
+};
+
+/** @brief Settings of what is learned of service times. */
+struct service_time_options {
+  /** Requests remembered, at most. */
+  std::size_t most_remembered{64};
+  /** With fewer, nothing is said. */
+  std::size_t least_needed{8};
+  /** Room for a load that rises while the process stops: the others take its
+   * callers over. */
+  double margin{1.3};
+};
+
+/** @brief Takes note that a request begins. */
+void OnBegan(service_times& state, mono_time now);
+
+/** @brief Takes note that a request that began then has ended.
+ * @param is_served False if its time says nothing. */
+void OnEnded(service_times& state,
+             const service_time_options& settings,
+             mono_time began,
+             bool is_served,
+             mono_time now);
+
+/**
+ * @brief Returns the longest time that a request took lately.
+ *
+ * Those that run now count with their present age.
+ *
+ * @return Nothing before enough requests were seen.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds> LongestTime(
+    const service_times& state,
+    const service_time_options& settings,
+    mono_time now);
+
+/** @brief A planned stop as a request meets it. */
+struct stop_window {
+  /** From the order to stop to the end of the process. */
+  std::chrono::milliseconds whole{};
+  /** What is left of it. */
+  std::chrono::milliseconds left{};
+};
+
+/** @brief Tells whether a request that arrives during a planned stop can be
+ * expected to end before the process does. */
+[[nodiscard]] bool EndsBeforeStop(const service_times& state,
+                                  const service_time_options& settings,
+                                  routing::request_kind kind,
+                                  stop_window stop,
+                                  mono_time now);
+
+}  // namespace mimosadeck::forwarding
+
+#endif  // FORWARDING_SERVICE_TIME_H_
