Serve callers in a planned stop that cannot know of it yet

Change: for the three seconds in which callers may still hold an old answer of the directory a request is taken if such requests usually end in time; later only if the longest would.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -21,10 +21,6 @@
 namespace internal {
 namespace {
 
-/** Time for which callers keep an answer of the directory. */
-constexpr std::chrono::milliseconds kDirectoryTtl{1000};
-/** Callers keep an answer for up to three times as long. */
-constexpr int kDirectoryTtlFactor = 3;
 constexpr std::chrono::milliseconds kStopPoll{50};
 /** Callers reuse connections up to the idle limit that they know, which a new
  * manifest may have lowered here. */
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -47,6 +47,7 @@
   stop.whole = state.machine.bounds.stop_grace - kStopReserve;
   stop.left = std::chrono::duration_cast<std::chrono::milliseconds>(
       *state.draining_since + stop.whole - now);
+  stop.unheard = kDirectoryTtl * kDirectoryTtlFactor;
   const auto known = state.service_times.find(route.name);
   return !forwarding::EndsBeforeStop(
       known == state.service_times.end() ? forwarding::service_times{}
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -31,6 +31,10 @@
 
 namespace asio = boost::asio;
 
+/** Time for which callers keep an answer of the directory. */
+inline constexpr std::chrono::milliseconds kDirectoryTtl{1000};
+/** Callers keep an answer for up to three times as long. */
+inline constexpr int kDirectoryTtlFactor = 3;
 /** Part of a planned stop's time that is left when the process ends by itself.
  */
 inline constexpr std::chrono::milliseconds kStopReserve{400};
--- a/src/forwarding/service_time.cc
+++ b/src/forwarding/service_time.cc
@@ -1,6 +1,7 @@
 #include "forwarding/service_time.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace mimosadeck::forwarding {
 namespace internal {
@@ -44,20 +45,22 @@
   }
 }
 
-std::optional<std::chrono::milliseconds> LongestTime(
-    const service_times& state,
-    const service_time_options& settings,
-    mono_time now) {
+std::optional<seen_times> TimesSeen(const service_times& state,
+                                    const service_time_options& settings,
+                                    mono_time now) {
   if (state.served.size() < settings.least_needed) {
     return std::nullopt;
   }
-  auto longest = *std::max_element(state.served.begin(), state.served.end());
+  std::vector<std::chrono::milliseconds> times(state.served.begin(),
+                                               state.served.end());
+  std::sort(times.begin(), times.end());
+  seen_times out{times[times.size() / 2], times.back()};
   if (!state.running.empty()) {
-    longest =
-        std::max(longest, std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - *state.running.begin()));
+    out.longest = std::max(
+        out.longest, std::chrono::duration_cast<std::chrono::milliseconds>(
+                         now - *state.running.begin()));
   }
-  return longest;
+  return out;
 }
 
 bool EndsBeforeStop(const service_times& state,
@@ -65,12 +68,14 @@
                     routing::request_kind kind,
                     stop_window stop,
                     mono_time now) {
-  const auto longest = LongestTime(state, settings, now);
-  if (!longest) {
+  const auto seen = TimesSeen(state, settings, now);
+  if (!seen) {
     return internal::IsWithinPart(kind, stop);
   }
-  return stop.left >=
-         settings.margin * std::chrono::duration<double, std::milli>(*longest);
+  const bool may_know = stop.whole - stop.left > stop.unheard;
+  const std::chrono::duration<double, std::milli> needed =
+      may_know ? seen->longest : seen->usual;
+  return stop.left >= settings.margin * needed;
 }
 
 }  // namespace mimosadeck::forwarding
--- a/src/forwarding/service_time.h
+++ b/src/forwarding/service_time.h
@@ -42,14 +42,16 @@
              bool is_served,
              mono_time now);
 
-/**
- * @brief Returns the longest time that a request took lately.
- *
- * Those that run now count with their present age.
- *
- * @return Nothing before enough requests were seen.
- */
-[[nodiscard]] std::optional<std::chrono::milliseconds> LongestTime(
+/** @brief How long requests took lately. */
+struct seen_times {
+  /** Half of those that were served took no longer. */
+  std::chrono::milliseconds usual{};
+  /** The longest, with the present ages of those that run. */
+  std::chrono::milliseconds longest{};
+};
+
+/** @brief Returns the times seen; nothing before enough requests were. */
+[[nodiscard]] std::optional<seen_times> TimesSeen(
     const service_times& state,
     const service_time_options& settings,
     mono_time now);
@@ -60,10 +62,18 @@
   std::chrono::milliseconds whole{};
   /** What is left of it. */
   std::chrono::milliseconds left{};
+  /** Time in which callers may not have heard of the stop. */
+  std::chrono::milliseconds unheard{};
 };
 
-/** @brief Tells whether a request that arrives during a planned stop can be
- * expected to end before the process does. */
+/**
+ * @brief Tells whether to take a request that arrives during a planned stop.
+ *
+ * Callers that cannot know of the stop yet are served if such requests usually
+ * end before the process does: a refusal costs them one of few retries. Later
+ * ones could have gone elsewhere, and are taken only if even the longest of
+ * such requests would end.
+ */
 [[nodiscard]] bool EndsBeforeStop(const service_times& state,
                                   const service_time_options& settings,
                                   routing::request_kind kind,
