Tell first of the crashes that this entry has seen itself

What relays had passed on filled an entry's digest, in the order of fingerprints, before what only this entry knew.

Fix: among suspects with equally many crashes an entry's own evidence goes first, then turns, then the newest.

--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <utility>
+#include <tuple>
 
 #include "base/digest.h"
 
@@ -30,11 +30,12 @@
                       entry.cleared.end(), std::inserter(to, to.end()));
 }
 
-/** @brief Orders by crashes, the most first, then by how often others were
- * told. */
+/** @brief Orders by crashes, the most first; then what this entry has seen
+ * itself, which nobody else can tell; then by turns, the newest first. */
 bool GoesFirst(const suspect_entry* a, const suspect_entry* b) {
   const auto rank = [](const suspect& of) {
-    return std::pair(of.condemned ? 0 : -std::ssize(of.crashes), of.times_told);
+    return std::tuple(of.condemned ? 0 : -std::ssize(of.crashes), !of.witnessed,
+                      of.times_told, -of.learned_at.time_since_epoch());
   };
   return rank(a->second) < rank(b->second);
 }
--- a/test/quarantine/crashing_request_test.cc
+++ b/test/quarantine/crashing_request_test.cc
@@ -202,4 +202,145 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A fleet with relays, whose entries are cut off and restarted. */
+struct troubled_fleet : fleet {
+  static constexpr std::size_t kEntries = 40;
+  static constexpr std::size_t kRelays = 4;
+  static constexpr std::size_t kSeeds = 50;
+
+  struct trouble {
+    mono_time cut_until;
+    /** In touch again the contact time after this. */
+    mono_time troubled_at;
+  };
+  std::vector<trouble> troubles;
+  bool is_row_written{};
+
+  void Begin(std::uint64_t seed) {
+    entries.assign(kEntries, {});
+    troubles.assign(kEntries, {now - 1h, now - 1h});
+    random.seed(static_cast<std::mt19937::result_type>(seed));
+    poison_runs = later_runs = 0;
+    third_crash_at.reset();
+    is_row_written = false;
+  }
+
+  bool Chance(double part) {
+    return std::uniform_real_distribution<double>(0, 1)(random) < part;
+  }
+
+  bool IsInTouch(std::size_t number) const {
+    return now - troubles[number].troubled_at > kContactTime;
+  }
+
+  /** Entries tell the relays, and these everyone; datagrams may be lost. */
+  void TellByRelays() {
+    for (std::size_t from = 0; from < kEntries; ++from) {
+      const auto news = quarantine::ToTell(entries[from].ward, options, now);
+      for (std::size_t to = 0; to < kEntries; ++to) {
+        const bool is_told = from < kRelays || to < kRelays;
+        if (!is_told || to == from || !entries[from].runs ||
+            !entries[to].runs || Chance(0.05)) {
+          continue;
+        }
+        for (const auto* each : news.told) {
+          const auto [fingerprint, known] = *each;
+          quarantine::Merge(entries[to].ward, options, fingerprint, known, now);
+        }
+      }
+    }
+  }
+
+  void Disturb(std::size_t number) {
+    auto& at = entries[number];
+    auto& known = troubles[number];
+    if (!at.runs && now >= known.cut_until) {
+      at.runs = true;
+      known.troubled_at = now;
+    }
+    if (at.runs && Chance(0.002)) {
+      at.runs = false;
+      known.cut_until = now + std::chrono::milliseconds(random() % 8000);
+    }
+    if (Chance(0.002)) {
+      at.ward = {};
+      known.troubled_at = now;
+      if (is_row_written) {
+        quarantine::suspect row;
+        row.condemned = true;
+        row.crashed_at = now;
+        quarantine::Merge(at.ward, options, kPoison, row, now);
+      }
+    }
+    if (!at.runs) {
+      known.troubled_at = now;
+    }
+  }
+
+  void KillAll() {
+    for (std::size_t i = 0; i < kEntries; ++i) {
+      entries[i] = {};
+      troubles[i] = {now, now};
+    }
+    if (is_row_written) {
+      quarantine::suspect row;
+      row.condemned = true;
+      row.crashed_at = now;
+      quarantine::Merge(entries.back().ward, options, kPoison, row, now);
+    }
+  }
+
+  void SendPoison(std::size_t number) {
+    auto& at = entries[number].ward;
+    const auto later_before = later_runs;
+    Send(entries[number]);
+    is_row_written = is_row_written || quarantine::IsCondemned(at, kPoison);
+    if (!IsInTouch(number)) {
+      later_runs = later_before;
+    }
+  }
+
+  /** A minute with a burst of broken answers and the poison twice a second. */
+  void Play() {
+    const auto begin = now;
+    const auto kill_at = begin + std::chrono::milliseconds(random() % 60000);
+    while (now - begin < 60s) {
+      now += kStep;
+      if (now - kill_at >= 0ms && now - kill_at < kStep) {
+        KillAll();
+      }
+      for (std::size_t i = 0; i < kEntries; ++i) {
+        quarantine::Tick(entries[i].ward, options, now);
+        Disturb(i);
+        if (Chance(0.5)) {
+          Crash(entries[i], Innocent());
+        }
+      }
+      if ((now - mono_time(1h)) % kDigestInterval == 0ms) {
+        TellByRelays();
+      }
+      if (Chance(0.5)) {
+        SendPoison(random() % kEntries);
+      }
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(told_through_relays, troubled_fleet)
+
+// With relays between them, entries that restart, are cut off and lose
+// datagrams beside a burst of broken answers sent a crashing request on again
+// and again.
+BOOST_AUTO_TEST_CASE(poison_in_a_troubled_fleet_is_refused_in_time) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Begin(seed);
+    Play();
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST(later_runs <= kMostLaterRuns);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
