--- a/apps/mimosadeckd/edge/crashes.cc
+++ b/apps/mimosadeckd/edge/crashes.cc
@@ -82,9 +82,11 @@
   if (is_crash) {
     const bool was_condemned =
         quarantine::IsCondemned(state.ward, broken.fingerprint);
-    auto crash = quarantine::NameCrash(
+    const auto observer =
+        Hash64(SourceName(state.machine.name, state.incarnation));
+    const auto crash = quarantine::NameCrash(
         state.crashes, state.quarantine_options, broken.upstream,
-        SourceName(state.machine.name, state.incarnation), broken.at);
+        std::to_string(observer), broken.at);
     static_cast<void>(quarantine::OnCrash(state.ward, state.quarantine_options,
                                           crash, {broken.fingerprint},
                                           SuspendAwareNow()));
