--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -104,7 +104,7 @@
 
 /**
  * @brief Takes note that an upstream crashed.
- * @param crash Identity of the crash, equal on every entry that saw it.
+ * @param crash Identity of the crash; one that is reported again counts once.
  * @param running Fingerprints of the requests that ran on the upstream.
  * @return Fingerprints whose standing changed, to tell other entries.
  */
@@ -151,8 +151,9 @@
  * @brief Chooses the suspects to tell other entries of.
  *
  * Half of the room is for condemned requests, which are told of by turns, half
- * for suspects, those with the most crashes first and among equals those told
- * of least; what one half leaves the other uses.
+ * for suspects: those with the most crashes first, then those that this entry
+ * has seen itself, then those told of least. What one half leaves the other
+ * uses.
  */
 [[nodiscard]] news ToTell(ward& state, const options& settings, mono_time now);
 
