--- a/test/quarantine/crashing_request_test.cc
+++ b/test/quarantine/crashing_request_test.cc
@@ -186,6 +186,17 @@
   }
 }
 
+// A crash that the request did not cause counted again when others told of it.
+BOOST_AUTO_TEST_CASE(cleared_crash_that_others_tell_of_again_does_not_count) {
+  Crash(entries.back(), kPoison);
+  Pass(kDigestInterval);
+  auto& served = entries.front().ward;
+  BOOST_TEST(quarantine::CrashCount(served, kPoison) == 1);
+  quarantine::OnFinished(served, kPoison);
+  Pass(2 * kDigestInterval);
+  BOOST_TEST(quarantine::CrashCount(served, kPoison) == 0);
+}
+
 // An upstream that restarts under its id is another one to each request that
 // ends it; the requests that one crash ended share its name.
 BOOST_AUTO_TEST_CASE(crashes_of_one_name_are_told_apart_by_time) {
