Wait for the verdict in the test of lost answers

Cause: found by removing the mechanism by hand: request_whose_answers_were_lost_is_not_- refused passed on a daemon that counts every broken attempt, since the verdict on an upstream that still listens falls three seconds later.

Change: the test waits four seconds before it asks; it is stricter so.

Measured: fails on that daemon, passes on the code as it stands. Also run by hand: without the question before a repeat, without reading the rows at the start and without the bound of an event the named tests fail. The code of the daemon is unchanged.

--- a/test/system/crashing_request_system_test.cc
+++ b/test/system/crashing_request_system_test.cc
@@ -19,6 +19,8 @@
 /** Upstreams take longer to start again. */
 constexpr auto kRestartTime = 1200ms;
 
+/** A sound upstream is told from one that was replaced within this time. */
+constexpr auto kVerdictTime = 4000ms;
 /** Work of a request that runs while equal ones are condemned. */
 constexpr auto kHeldTime = 2000ms;
 
@@ -110,6 +112,8 @@
   }
   SetAnswers(answer::good);
   third.next = answer::good;
+  io.restart();
+  io.run_for(kVerdictTime);
   BOOST_TEST(Call("/safe/x").status == 200);
 }
 
