Decode and log the limit that an upstream states

The logs could not tell whether entries ignore a stated limit, keep it each by itself, or learn it late: nothing decoded it.

Change: platform/ decodes the limit; rate_limit keeps the latest statement of each incarnation, ended only by an answer to a request that was sent after the limit was last stated; each change is a log line with its origin, and a counter. Requests are sent as before.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -79,8 +79,9 @@
 
   asio::awaitable<attempt_result> Run() {
     auto& pool = state_.pools[context_->service];
+    sent_at_ = SuspendAwareNow();
     placement::OnSent(pool, state_.placement_options, selection_, context_->job,
-                      SuspendAwareNow());
+                      sent_at_);
     started_ = steady::now();
     context_->active_call = &call_;
     auto outcome = co_await Exchange();
@@ -127,6 +128,9 @@
   platform::upstream_answer ReadHead() {
     auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
     ApplyUpstreamSignals(state_, selection_, answer);
+    if (!IsStray(answer)) {
+      ApplyUpstreamLimit(state_, selection_, answer, sent_at_);
+    }
     return answer;
   }
 
@@ -351,6 +355,7 @@
   net::exchange& exchange_;
   net::http_call call_;
   steady::time_point started_;
+  mono_time sent_at_;
   bool has_begun_{};
 };
 
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -21,6 +21,7 @@
 #include "placement/placement.h"
 #include "platform/platform.h"
 #include "quarantine/quarantine.h"
+#include "rate_limit/rate_limit.h"
 #include "registry/registry.h"
 #include "retry/retry.h"
 #include "revision/revision.h"
@@ -96,6 +97,8 @@
   placement::options placement_options;
   availability::record_table availability;
   availability::options availability_options;
+  /** Limits that upstreams state for the requests of all entries. */
+  rate_limit::limit_table limits;
   /** Retry budgets by service name. */
   std::map<std::string, retry::budget, std::less<>> retry_budgets;
   /** Service times by route name; shared because requests may outlive the event
--- a/apps/mimosadeckd/edge/upstream_signs.cc
+++ b/apps/mimosadeckd/edge/upstream_signs.cc
@@ -11,6 +11,12 @@
 /** Limit that keeps digests small. More upstreams leave at once when a data
  * centre is reclaimed; successive digests then rotate through them. */
 constexpr std::size_t kMaxLeavingPerDigest = 16;
+/** Time for which the end of a limit is reported, and the limit of an upstream
+ * that the registry no longer lists is kept. */
+constexpr std::chrono::milliseconds kLimitRetention{120000};
+
+/** Origin of a signal in an answer to this entry, for the log. */
+constexpr std::string_view kOwnAnswer = "answer";
 
 /** @brief Returns the incarnations that the registry lists as ready. */
 std::set<std::string, std::less<>> ListedIncarnations(const edge_state& state) {
@@ -46,6 +52,23 @@
                   {"granted_ms", std::to_string(granted.count())}});
 }
 
+void OnLimitChange(edge_state& state,
+                   const std::string& incarnation,
+                   rate_limit::change changed,
+                   std::string_view origin) {
+  if (changed == rate_limit::change::none) {
+    return;
+  }
+  const auto limit = rate_limit::LimitOf(state.limits, incarnation);
+  state.metrics.Count("mimosadeck_upstream_limit_changes_total", "origin",
+                      origin == kOwnAnswer ? "answer" : "entry");
+  telemetry::Log(
+      telemetry::level::info, "upstream_limit_changed",
+      {{"upstream", incarnation},
+       {"requests_per_second", limit ? std::to_string(*limit) : "none"},
+       {"origin", origin}});
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -67,7 +90,7 @@
   if (answer.is_leaving &&
       availability::OnSignal(book, options, from.incarnation,
                              availability::signal::announced, now)) {
-    internal::OnLeaving(state, from.incarnation, "answer");
+    internal::OnLeaving(state, from.incarnation, internal::kOwnAnswer);
   }
   if (answer.closes_connection) {
     availability::OnSignal(book, options, from.incarnation,
@@ -83,6 +106,32 @@
   }
 }
 
+void ApplyUpstreamLimit(edge_state& state,
+                        const placement::selection& from,
+                        const platform::upstream_answer& answer,
+                        mono_time sent_at) {
+  if (answer.is_wrong_upstream) {
+    return;
+  }
+  const auto now = SuspendAwareNow();
+  if (!answer.unreadable_limit.empty()) {
+    telemetry::Log(
+        telemetry::level::warning, "upstream_limit_unreadable",
+        {{"upstream", from.incarnation}, {"limit", answer.unreadable_limit}});
+    return;
+  }
+  auto changed = rate_limit::change::none;
+  if (answer.requests_per_second) {
+    changed = rate_limit::OnStated(state.limits, from.incarnation,
+                                   *answer.requests_per_second, now);
+  } else if (answer.is_signed) {
+    changed =
+        rate_limit::OnNotStated(state.limits, from.incarnation, sent_at, now);
+  }
+  internal::OnLimitChange(state, from.incarnation, changed,
+                          internal::kOwnAnswer);
+}
+
 void MarkLeaving(edge_state& state,
                  const std::string& incarnation,
                  std::string_view origin) {
@@ -117,16 +166,18 @@
 }
 
 void ForgetGoneUpstreams(edge_state& state) {
-  if (state.availability.by_incarnation.empty()) {
+  if (state.availability.by_incarnation.empty() &&
+      state.limits.by_incarnation.empty()) {
     return;
   }
   const auto listed = internal::ListedIncarnations(state);
-  availability::Tick(
-      state.availability, state.availability_options,
-      [&listed](std::string_view incarnation) {
-        return listed.contains(incarnation);
-      },
-      SuspendAwareNow());
+  const auto is_listed = [&listed](std::string_view incarnation) {
+    return listed.contains(incarnation);
+  };
+  const auto now = SuspendAwareNow();
+  availability::Tick(state.availability, state.availability_options, is_listed,
+                     now);
+  rate_limit::Tick(state.limits, is_listed, internal::kLimitRetention, now);
 }
 
 }  // namespace mimosadeck::edge
--- a/apps/mimosadeckd/edge/upstream_signs.h
+++ b/apps/mimosadeckd/edge/upstream_signs.h
@@ -18,6 +18,17 @@
                           const placement::selection& from,
                           const platform::upstream_answer& answer);
 
+/**
+ * @brief Applies the limit of requests per second that an upstream states, or
+ * its end.
+ * @param answer The response to the attempt, not to another request.
+ * @param sent_at When the attempt's request was sent.
+ */
+void ApplyUpstreamLimit(edge_state& state,
+                        const placement::selection& from,
+                        const platform::upstream_answer& answer,
+                        mono_time sent_at);
+
 /**
  * @brief Marks an upstream as leaving because another entry reported it.
  * @param origin Name of the reporting entry, for the log.
--- /dev/null
+++ b/src/rate_limit/fwd.h
@@ -0,0 +1,12 @@
+#ifndef RATE_LIMIT_FWD_H_
+#define RATE_LIMIT_FWD_H_
+
+namespace mimosadeck::rate_limit {
+
+enum class change;
+struct limit;
+struct limit_table;
+
+}  // namespace mimosadeck::rate_limit
+
+#endif  // RATE_LIMIT_FWD_H_
--- /dev/null
+++ b/src/rate_limit/rate_limit.h
@@ -0,0 +1,7 @@
+#ifndef RATE_LIMIT_RATE_LIMIT_H_
+#define RATE_LIMIT_RATE_LIMIT_H_
+
+#include "rate_limit/fwd.h"
+#include "rate_limit/limits.h"
+
+#endif  // RATE_LIMIT_RATE_LIMIT_H_
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -232,6 +232,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(limit_of_an_upstream_is_decoded_and_not_shown_to_callers) {
+  const auto decode = [](const std::string& text) {
+    return platform::DecodeAnswer(200, {{"server-limit", text}});
+  };
+  BOOST_TEST(*decode("1.3").requests_per_second == 1.3);
+  BOOST_TEST(*decode(" 0 ").requests_per_second == 0);
+  BOOST_TEST(*decode("0.001").requests_per_second == 0.001);
+  for (const auto* bad : {"", "-1", "nan", "inf", "1e9", "1, 2", "x", "2s"}) {
+    BOOST_TEST(!decode(bad).requests_per_second.has_value(), bad);
+    BOOST_TEST(!decode(bad).unreadable_limit.empty(), bad);
+  }
+  const auto none = platform::DecodeAnswer(200, {});
+  BOOST_TEST(!none.requests_per_second.has_value());
+  BOOST_TEST(none.unreadable_limit.empty());
+  BOOST_TEST(platform::FieldsForCaller({{"server-limit", "1"}}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(status_421_means_wrong_upstream) {
   BOOST_TEST(platform::DecodeAnswer(421, {}).is_wrong_upstream);
   BOOST_TEST(!platform::DecodeAnswer(503, {}).is_wrong_upstream);
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -110,7 +110,11 @@
   if (leaving) {
     fields["server-leaving"] = "1";
   }
+  if (!stated_limit.empty()) {
+    fields["server-limit"] = stated_limit;
+  }
   ++arrivals;
+  arrived_at.push_back(std::chrono::steady_clock::now());
   const auto expected = net::FieldOf(request.fields, "x-expect-instance");
   if (!expected.empty() && expected != id_) {
     auto refused = NotRunResponse(kWrongUpstream, std::move(fields));
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -103,12 +103,16 @@
   std::chrono::milliseconds slow_pause{150};
   /** Responses announce that the upstream is shutting down. */
   bool leaving{};
+  /** Limit that responses state, in requests per second; empty for none. */
+  std::string stated_limit;
   /** `retry-after` of `not_run` responses, in seconds; empty for none. */
   std::string refusal_retry_after;
   /** Responses lack the id of their request. */
   bool omits_request_id{};
   /** Number of requests received, run or not. */
   int arrivals{};
+  /** When each of these requests arrived. */
+  std::vector<std::chrono::steady_clock::time_point> arrived_at;
   std::vector<upstream_run> runs;
   /** A caller closed the connection during a stream. */
   bool caller_left{};
--- a/test/system/one_entry.h
+++ b/test/system/one_entry.h
@@ -102,29 +102,43 @@
     std::filesystem::remove(settings);
   }
 
-  /** @brief Starts the entry and reads its addresses from its log. */
-  void Start() {
-    settings = std::filesystem::temp_directory_path() /
-               ("edge_test." + std::to_string(getpid()) + ".json");
-    const json::object listen{{"front", "127.0.0.1:0"},
-                              {"ready", "127.0.0.1:0"},
-                              {"control", "127.0.0.1:0"},
-                              {"directory", "127.0.0.1:0"}};
+  /** @brief Writes the settings file of an entry. */
+  std::filesystem::path WriteSettings(const std::string& name,
+                                      const std::string& ip) const {
+    auto path =
+        std::filesystem::temp_directory_path() /
+        ("edge_test." + std::to_string(getpid()) + '.' + name + ".json");
+    const json::object listen{{"front", ip + ":0"},
+                              {"ready", ip + ":0"},
+                              {"control", ip + ":0"},
+                              {"directory", ip + ":0"}};
     const json::object content{
-        {"node_name", "entry-1"},
-        {"ip", "127.0.0.1"},
+        {"node_name", name},
+        {"ip", ip},
         {"zone", "a"},
         {"listen", listen},
         {"port_range", {0, 0}},
         {"bounds", {{"grace_s", 4}}},
         {"provider", {{"address", store.Address()}}},
         {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
-    std::ofstream(settings) << json::serialize(content);
-    entry = std::make_unique<process>(
+    std::ofstream(path) << json::serialize(content);
+    return path;
+  }
+
+  /** @brief Starts a daemon with a settings file. */
+  static std::unique_ptr<process> StartDaemon(
+      const std::filesystem::path& settings) {
+    return std::make_unique<process>(
         "entry",
         std::vector<std::string>{
             std::string(std::getenv("MIMOSADECK_BUILD")) + "/apps/mimosadeckd",
             "--platform", "--metrics-port", "0", settings.string()});
+  }
+
+  /** @brief Starts the entry and reads its addresses from its log. */
+  void Start() {
+    settings = WriteSettings("entry-1", "127.0.0.1");
+    entry = StartDaemon(settings);
     const auto line = json::parse(entry->LineWith("\"listening\"")).as_object();
     callers = json::value_to<std::string>(line.at("callers"));
     ready = json::value_to<std::string>(line.at("ready"));
