Divide an upstream's stated limit among all entries

What callers saw: nothing. An upstream in need, which had stated a limit of requests a second for all entries together, got what it had got before.

Cause: no entry applied a stated limit. Class: a limit on a sum that each entry would have to keep without knowing what the others send; decoding it alone would have left eight entries with eight times the limit.

Change: rate_limit issues the limit as numbered permits, evenly over time. The entry that rendezvous hashing of the number selects holds a permit and may use it within a second. The entries need no messages to agree, only the same participants (kept for 15 s of silence, longer for an entry that hears at most half of the fleet) and the fleet's clock. A process uses no permits until it has run for the agreed contact time. Every attempt takes its permit with the choice of its upstream, before anything is awaited. Limits and their ends are reported in digests. A refusal names the interval of permits as Retry-After.

Before: upstream_limit_system_test 228 requests in 4 s, 11 allowed. After: passes. shared_limit_test, virtual time, 8, 40 and 410 entries, limits of 0.2 to 50: at most 0.90 of what is allowed in any 4 s, at least 0.90 of the limit in use, over calm, views that differ, doubling, restarts, a cut, frozen and lost entries.

Failed trial: entries on the smaller side of a cut used all of their own permits; 40 entries, limit 50, a cut of 45 in 100: slightly more than allowed. They now use half, since the larger side takes their permits over.

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -1,6 +1,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/attempt.h"
+#include "mimosadeckd/edge/upstream_signs.h"
 
 namespace mimosadeck::edge {
 namespace internal {
@@ -15,6 +16,10 @@
 /** Retry-After when no upstream is reachable: registrations and connections
  * usually recover within this time. */
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{400};
+/** Longest Retry-After while upstreams are limited; limits may end sooner. */
+constexpr std::chrono::milliseconds kMaxPermitRetryAfter{5000};
+/** Number of different Retry-After times while upstreams are limited. */
+constexpr std::uint64_t kRetrySteps = 64;
 
 std::string_view NameOf(attempt_end end) {
   switch (end) {
@@ -124,6 +129,59 @@
   }
 }
 
+/** @brief Returns the Retry-After time while the upstreams of a service are
+ * limited and other entries hold their permits; unset if none is limited. */
+std::optional<std::chrono::milliseconds> TimeUntilPermit(
+    const edge_state& state,
+    const placement::pool& pool,
+    const placement::job& job) {
+  std::optional<std::chrono::milliseconds> shortest;
+  for (const auto& [incarnation, candidate] : pool.candidates) {
+    const auto interval = rate_limit::PermitInterval(
+        state.permits, state.rate_limit_options, incarnation);
+    if (interval) {
+      shortest = std::min(shortest.value_or(*interval), *interval);
+    }
+  }
+  if (!shortest) {
+    return std::nullopt;
+  }
+  const auto wait =
+      std::clamp(*shortest, kNoUpstreamRetryAfter, kMaxPermitRetryAfter);
+  // Spreads the callers, so that they do not all come back at once.
+  const auto step = static_cast<std::int64_t>(job.sampling_key % kRetrySteps);
+  return wait + wait * step / kRetrySteps;
+}
+
+/** @brief Chooses an upstream that may get a request now, and uses a permit if
+ * it is limited. */
+std::optional<placement::selection> ChooseUpstream(edge_state& state,
+                                                   request_context& context) {
+  RefreshPermits(state);
+  const auto& pool = state.pools[context.service];
+  auto excluded = context.tried_upstreams;
+  context.limited_upstreams = 0;
+  for (auto& incarnation : rate_limit::WithoutPermit(state.permits)) {
+    if (pool.candidates.contains(incarnation)) {
+      ++context.limited_upstreams;
+      excluded.insert(incarnation);
+    }
+  }
+  auto out =
+      placement::Choose(pool, state.placement_options, context.job,
+                        state.machine.data_centre, excluded, SuspendAwareNow());
+  if (out && rate_limit::HasPermit(state.permits, out->incarnation)) {
+    static_cast<void>(rate_limit::TakePermit(state.permits, out->incarnation));
+    state.metrics.Count("mimosadeck_upstream_permits_used_total", "service",
+                        context.service);
+  }
+  if (context.limited_upstreams > 0) {
+    state.metrics.Count("mimosadeck_upstreams_held_back_total", "service",
+                        context.service);
+  }
+  return out;
+}
+
 /** @brief Returns the Retry-After time for a refused caller. */
 std::chrono::milliseconds RetryAfter(const edge_state& state,
                                      const request_context& context) {
@@ -131,7 +189,11 @@
   if (pool == state.pools.end()) {
     return kNoUpstreamRetryAfter;
   }
-  return placement::RetryAfter(pool->second, context.job, SuspendAwareNow())
+  if (const auto wait =
+          placement::RetryAfter(pool->second, context.job, SuspendAwareNow())) {
+    return *wait;
+  }
+  return TimeUntilPermit(state, pool->second, context.job)
       .value_or(kNoUpstreamRetryAfter);
 }
 
@@ -218,6 +280,7 @@
                         ? std::to_string(context.time_to_first_answer->count())
                         : "none"},
        {"pause_ms", std::to_string(context.longest_event_gap.count())},
+       {"limited_upstreams", std::to_string(context.limited_upstreams)},
        {"long_prompt", context.has_long_prompt ? "yes" : "no"},
        {"beside_long_prompts", context.beside_long_prompts ? "yes" : "no"},
        {"taken_ms", std::to_string(elapsed.count())}});
@@ -258,9 +321,7 @@
       internal::ServiceTimesOf(state, context->route->name),
       state.service_time_options);
   while (true) {
-    const auto selection = placement::Choose(
-        state.pools[context->service], state.placement_options, context->job,
-        state.machine.data_centre, context->tried_upstreams, SuspendAwareNow());
+    const auto selection = internal::ChooseUpstream(state, *context);
     if (!selection) {
       const auto step = forwarding::OnNoAttemptLeft(context->progress);
       std::optional<net::http_response> no_response;
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -170,6 +170,9 @@
     for (const auto& upstream : summary.leaving_upstreams()) {
       MarkLeaving(state_, upstream, summary.relay());
     }
+    for (const auto& limit : summary.upstream_limits()) {
+      MergeUpstreamLimit(state_, limit, summary.relay());
+    }
     for (const auto& member : summary.members()) {
       AddPeer(member.peer_address());
     }
@@ -221,6 +224,9 @@
   for (const auto& upstream : received.leaving_upstreams()) {
     MarkLeaving(state_, upstream, name);
   }
+  for (const auto& limit : received.upstream_limits()) {
+    MergeUpstreamLimit(state_, limit, name);
+  }
   const bool is_new = !state_.members.by_name.contains(name);
   const bool needs_summary = fleet::SendsSummary(
       state_.members, state_.fleet_options, SelfInfo(state_), received, now);
@@ -301,6 +307,9 @@
     for (auto& upstream : SelectLeavingUpstreams(state_, full_rounds_)) {
       plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
     }
+    for (auto& limit : SelectUpstreamLimits(state_, full_rounds_)) {
+      *plain.mutable_digest()->add_upstream_limits() = std::move(limit);
+    }
     for (auto& peer : SelectKnownPeers()) {
       plain.mutable_digest()->add_known_peers(std::move(peer));
     }
@@ -404,6 +413,7 @@
     kept.clear_windows();
     kept.clear_suspects();
     kept.clear_leaving_upstreams();
+    kept.clear_upstream_limits();
     kept.clear_known_peers();
     kept.clear_wants_summary();
     relayed.set_peer_address(address);
@@ -432,6 +442,9 @@
   for (auto& upstream : SelectLeavingUpstreams(state_, full_rounds_)) {
     head.add_leaving_upstreams(std::move(upstream));
   }
+  for (auto& limit : SelectUpstreamLimits(state_, full_rounds_)) {
+    *head.add_upstream_limits() = std::move(limit);
+  }
   for (const auto& member : unchanged) {
     auto& encoded = *head.add_heard();
     encoded.set_identity(fleet::IdentityOf(member.record()));
@@ -475,6 +488,7 @@
       placement::Tick(pool, now);
     }
     RefreshRemoteLoad(state_);
+    RefreshParticipants(state_);
     state_.placement_options.sample_size =
         fleet::IsFullMesh(state_.members, state_.fleet_options)
             ? 0
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -49,6 +49,9 @@
   fleet_options.billing_window = this->machine.bounds.billing_window;
   fleet_options.billing_complete_after = this->machine.bounds.billing_window +
                                          this->machine.bounds.billing_deadline;
+  rate_limit_options.settle_time = this->machine.bounds.contact_recovery_time;
+  participants.self = this->machine.name;
+  participants.started_at = started_at;
   lease.self = ProcessIdentity(this->machine.name, incarnation);
 }
 
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -99,6 +99,11 @@
   availability::options availability_options;
   /** Limits that upstreams state for the requests of all entries. */
   rate_limit::limit_table limits;
+  rate_limit::options rate_limit_options;
+  /** The entries among which these limits are divided. */
+  rate_limit::participants participants;
+  /** This entry's part of the limits. */
+  rate_limit::permit_table permits;
   /** Retry budgets by service name. */
   std::map<std::string, retry::budget, std::less<>> retry_budgets;
   /** Service times by route name; shared because requests may outlive the event
--- a/apps/mimosadeckd/edge/upstream_signs.cc
+++ b/apps/mimosadeckd/edge/upstream_signs.cc
@@ -11,6 +11,7 @@
 /** Limit that keeps digests small. More upstreams leave at once when a data
  * centre is reclaimed; successive digests then rotate through them. */
 constexpr std::size_t kMaxLeavingPerDigest = 16;
+constexpr std::size_t kMaxLimitsPerDigest = 16;
 /** Time for which the end of a limit is reported, and the limit of an upstream
  * that the registry no longer lists is kept. */
 constexpr std::chrono::milliseconds kLimitRetention{120000};
@@ -156,6 +157,65 @@
                           round);
 }
 
+void MergeUpstreamLimit(edge_state& state,
+                        const wire::upstream_limit& observed,
+                        std::string_view origin) {
+  rate_limit::limit limit;
+  if (observed.has_requests_per_second()) {
+    limit.requests_per_second = observed.requests_per_second();
+  }
+  limit.observed_at =
+      SuspendAwareNow() - std::chrono::milliseconds(observed.observed_ms_ago());
+  const auto changed =
+      rate_limit::Merge(state.limits, observed.upstream(), limit);
+  internal::OnLimitChange(state, observed.upstream(), changed, origin);
+}
+
+std::vector<wire::upstream_limit> SelectUpstreamLimits(const edge_state& state,
+                                                       std::uint64_t round) {
+  const auto now = SuspendAwareNow();
+  std::vector<wire::upstream_limit> out;
+  for (const auto& [incarnation, known] : state.limits.by_incarnation) {
+    auto& encoded = out.emplace_back();
+    encoded.set_upstream(incarnation);
+    if (known.requests_per_second) {
+      encoded.set_requests_per_second(*known.requests_per_second);
+    }
+    encoded.set_observed_ms_ago(static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(now - known.observed_at)
+            .count()));
+  }
+  return SelectRoundRobin(std::move(out), internal::kMaxLimitsPerDigest, round);
+}
+
+void RefreshParticipants(edge_state& state) {
+  std::vector<rate_limit::heard_entry> heard;
+  heard.reserve(state.members.by_name.size());
+  for (const auto& [name, member] : state.members.by_name) {
+    heard.push_back({name, member.last_seen_at, member.last.leaving(),
+                     member.last.members_known()});
+  }
+  state.participants.leaving = state.draining_since.has_value();
+  rate_limit::UpdateParticipants(state.participants, state.rate_limit_options,
+                                 heard, SuspendAwareNow());
+}
+
+void RefreshPermits(edge_state& state) {
+  if (state.limits.by_incarnation.empty() &&
+      state.permits.by_incarnation.empty()) {
+    return;
+  }
+  rate_limit::IssuePermits(state.permits, state.rate_limit_options,
+                           state.limits, state.participants, FleetTime(state),
+                           SuspendAwareNow());
+  for (const auto& [incarnation, known] : state.limits.by_incarnation) {
+    const bool is_permitted = rate_limit::HasPermit(state.permits, incarnation);
+    for (auto& [service, pool] : state.pools) {
+      placement::SetAlwaysSampled(pool, incarnation, is_permitted);
+    }
+  }
+}
+
 void ApplyAvailability(edge_state& state) {
   for (const auto& [incarnation, record] : state.availability.by_incarnation) {
     for (auto& [service, pool] : state.pools) {
--- a/apps/mimosadeckd/edge/upstream_signs.h
+++ b/apps/mimosadeckd/edge/upstream_signs.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "mimosadeckd/edge/state.h"
 #include "wire/digest.pb.h"
@@ -47,6 +49,29 @@
     const edge_state& state,
     std::uint64_t round);
 
+/**
+ * @brief Applies the limit of an upstream as another entry observed it.
+ * @param origin Name of the reporting entry, for the log.
+ */
+void MergeUpstreamLimit(edge_state& state,
+                        const wire::upstream_limit& observed,
+                        std::string_view origin);
+
+/**
+ * @brief Returns the limits to report in one gossip message, with those that
+ * ended recently.
+ * @param round Number of the message, as for SelectLeavingUpstreams().
+ */
+[[nodiscard]] std::vector<wire::upstream_limit> SelectUpstreamLimits(
+    const edge_state& state,
+    std::uint64_t round);
+
+/** @brief Updates the entries among which limits are divided. */
+void RefreshParticipants(edge_state& state);
+
+/** @brief Issues this entry's permits for limited upstreams. */
+void RefreshPermits(edge_state& state);
+
 /** @brief Copies the recorded availability of upstreams to all pools. */
 void ApplyAvailability(edge_state& state);
 
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -35,6 +35,9 @@
   answer::event_framer framer;
   /** Incarnations of the upstreams of all attempts. */
   std::set<std::string> tried_upstreams;
+  /** Upstreams left out of the last choice, since their limits left this entry
+   * no permit. */
+  std::size_t limited_upstreams{};
   /** Computed on first use by FingerprintOf(). */
   std::string fingerprint;
   /** Upstream and end of each attempt, for the log. */
--- a/src/base/digest.h
+++ b/src/base/digest.h
@@ -40,6 +40,15 @@
 [[nodiscard]] std::uint64_t Hash64(std::string_view text,
                                    std::uint64_t seed = 0);
 
+/** @brief Mixes the bits of a number with the finalizer of SplitMix64. */
+[[nodiscard]] constexpr std::uint64_t MixBits(std::uint64_t value) {
+  constexpr std::uint64_t kFirst = 0xbf58476d1ce4e5b9ULL;
+  constexpr std::uint64_t kSecond = 0x94d049bb133111ebULL;
+  value = (value ^ (value >> 30U)) * kFirst;
+  value = (value ^ (value >> 27U)) * kSecond;
+  return value ^ (value >> 31U);
+}
+
 /**
  * @brief Returns random bytes from the system's secure generator as
  * hexadecimal.
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -59,15 +59,6 @@
   return out;
 }
 
-/** Mixes the bits of a number with the finalizer of SplitMix64. */
-std::uint64_t MixBits(std::uint64_t value) {
-  constexpr std::uint64_t kFirst = 0xbf58476d1ce4e5b9ULL;
-  constexpr std::uint64_t kSecond = 0x94d049bb133111ebULL;
-  value = (value ^ (value >> 30U)) * kFirst;
-  value = (value ^ (value >> 27U)) * kSecond;
-  return value ^ (value >> 31U);
-}
-
 std::uint32_t SharedTokens(const job& wanted) {
   std::uint32_t sum = 0;
   for (std::size_t i = 0; i + 1 < wanted.parts.size(); ++i) {
@@ -264,6 +255,15 @@
   }
 }
 
+void SetAlwaysSampled(pool& state,
+                      std::string_view incarnation,
+                      bool is_always_sampled) {
+  const auto found = state.candidates.find(incarnation);
+  if (found != state.candidates.end()) {
+    found->second.always_sampled = is_always_sampled;
+  }
+}
+
 std::optional<std::chrono::milliseconds> TimeUntilAvailable(const pool& state,
                                                             mono_time now) {
   std::optional<mono_time> earliest;
@@ -348,7 +348,7 @@
     const bool is_ejected =
         outlier::IsEjected(target.health, now) || now < target.avoided_until;
     const bool is_sampled =
-        &target == preferred ||
+        &target == preferred || target.always_sampled ||
         internal::IsSampled(target, settings, wanted, group.size());
     const auto sort_key = std::tuple(is_ejected, !is_sampled, current.cost);
     if (!best ||
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -123,6 +123,8 @@
   mono_time closed_until;
   /** The upstream is chosen only as a last resort before this time. */
   mono_time avoided_until;
+  /** The upstream is compared for every request, whatever the sample. */
+  bool always_sampled{};
 };
 
 /**
@@ -184,6 +186,14 @@
                      mono_time closed_until,
                      mono_time avoided_until);
 
+/**
+ * @brief Sets whether an upstream is compared for every request, since this
+ * entry may send to it for a short time only.
+ */
+void SetAlwaysSampled(pool& state,
+                      std::string_view incarnation,
+                      bool is_always_sampled);
+
 /**
  * @brief Returns the time until the first closed upstream reopens.
  * @return Nothing if an upstream is open or if the pool has none.
--- a/src/rate_limit/fwd.h
+++ b/src/rate_limit/fwd.h
@@ -6,6 +6,9 @@
 enum class change;
 struct limit;
 struct limit_table;
+struct options;
+struct participants;
+struct permit_table;
 
 }  // namespace mimosadeck::rate_limit
 
