Issue permits by time, so that a limit that keeps changing is used

Cause: a change of the limit restarted the numbering, and the permits between the last choice of an upstream and the change were lost. With a limit that alternates between 1.0 and 1.1 at each answer, an entry alone used 18 requests in 38 s.

Change: the time up to which permits were issued is kept instead of a number.

--- a/src/rate_limit/permits.cc
+++ b/src/rate_limit/permits.cc
@@ -101,43 +101,29 @@
       std::floor(SecondsSinceEpoch(time) * permits_per_second));
 }
 
-/** Starts with the next permit at a new rate. Permits of a higher rate are
- * dropped. */
-void StartIssuing(permits& state,
-                  const options& settings,
-                  double requests_per_second,
-                  wall_time fleet_time) {
-  if (requests_per_second < state.requests_per_second) {
-    state.available.clear();
-  }
-  state.requests_per_second = requests_per_second;
-  state.last_number = NumberAt(
-      fleet_time, IssueRate(settings, requests_per_second).permits_per_second);
-}
-
+/** Issues the permits up to `fleet_time` to this entry that it holds. */
 void Issue(permits& state,
            const options& settings,
            std::string_view incarnation,
            const holder_selection& holders,
            wall_time fleet_time) {
-  const auto rate = IssueRate(settings, state.requests_per_second);
-  const auto newest = NumberAt(fleet_time, rate.permits_per_second);
-  if (state.last_number >
-      NumberAt(fleet_time + kMaxLead, rate.permits_per_second)) {
-    state.last_number = newest;
+  if (state.issued_until > fleet_time + kMaxLead) {
+    state.issued_until = fleet_time;
   }
+  const auto since =
+      std::max(state.issued_until, fleet_time - settings.permit_lifetime);
+  const auto rate = IssueRate(settings, state.requests_per_second);
   const auto upstream = Hash64(incarnation);
-  const auto oldest =
-      NumberAt(fleet_time - settings.permit_lifetime, rate.permits_per_second);
-  for (auto number = std::max(state.last_number, oldest) + 1; number <= newest;
-       ++number) {
+  const auto newest = NumberAt(fleet_time, rate.permits_per_second);
+  for (auto number = NumberAt(since, rate.permits_per_second) + 1;
+       number <= newest; ++number) {
     if (holders.IsHeldBySelf(PermitHash(upstream, number))) {
       state.available.emplace_back(
           IssuedAt(number, rate.permits_per_second) + settings.permit_lifetime,
           rate.requests_per_permit);
     }
   }
-  state.last_number = std::max(state.last_number, newest);
+  state.issued_until = std::max(state.issued_until, fleet_time);
   std::erase_if(state.available, [fleet_time](const auto& permit) {
     return permit.first <= fleet_time;
   });
@@ -205,11 +191,13 @@
     }
     auto [item, is_new] = state.by_incarnation.try_emplace(incarnation);
     auto& own = item->second;
-    if (is_new || own.requests_per_second != *known.requests_per_second) {
-      internal::StartIssuing(own, settings, *known.requests_per_second,
-                             fleet_time);
-      continue;
+    if (is_new) {
+      own.issued_until = fleet_time;
+    }
+    if (*known.requests_per_second < own.requests_per_second) {
+      own.available.clear();
     }
+    own.requests_per_second = *known.requests_per_second;
     internal::Issue(own, settings, incarnation, holders, fleet_time);
   }
 }
--- a/src/rate_limit/permits.h
+++ b/src/rate_limit/permits.h
@@ -81,8 +81,8 @@
 /** @brief Permits of this entry for one upstream. */
 struct permits {
   double requests_per_second{};
-  /** Number of the last permit whose holder was determined. */
-  std::int64_t last_number{};
+  /** Permits up to this time have been issued to their holders. */
+  wall_time issued_until;
   /** Requests that may be sent, by the time at which the permit expires. */
   std::deque<std::pair<wall_time, std::uint32_t>> available;
 };
--- a/test/system/upstream_limit_system_test.cc
+++ b/test/system/upstream_limit_system_test.cc
@@ -99,6 +99,25 @@
              kMaxArrivals);
 }
 
+// Guards against callers that are told nothing while other entries hold the
+// permits, and against a limit that outlives the upstream's statement.
+BOOST_AUTO_TEST_CASE(service_with_limits_only_refuses_until_they_end) {
+  first.stated_limit = second.stated_limit = "0.5";
+  BOOST_REQUIRE(Eventually(
+      [this] { return Send(callers, Request("/unsafe/x")).status == 503; }));
+  const auto refused = Send(callers, Request("/unsafe/x"));
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(std::stod(refused.fields.at("retry-after")) >= 2);
+  first.stated_limit = second.stated_limit = "";
+  const auto all_served = [this] {
+    return std::all_of(
+        all_callers.begin(), all_callers.end(), [this](const auto& address) {
+          return Send(address, Request("/unsafe/x")).status == 200;
+        });
+  };
+  BOOST_TEST(Eventually([&] { return all_served() && all_served(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
