Remove ended limits while answers continue

Cause: every answer without a limit renewed the record of the ended one, so that it never expired: entries went on reporting it, and issued permits for nothing with each request, as long as the upstream was in use.

Before: rate_limit_test, ended_limit_is_removed_while_answers_continue fails. After: passes.

--- a/src/rate_limit/limits.cc
+++ b/src/rate_limit/limits.cc
@@ -30,6 +30,7 @@
                    mono_time now) {
   const auto found = state.by_incarnation.find(incarnation);
   if (found == state.by_incarnation.end() ||
+      !found->second.requests_per_second ||
       sent_at <= found->second.observed_at) {
     return change::none;
   }
--- a/test/rate_limit/rate_limit_test.cc
+++ b/test/rate_limit/rate_limit_test.cc
@@ -67,6 +67,19 @@
   BOOST_TEST(!HasLimit());
 }
 
+// Guards against an ended limit that each later answer renews, so that entries
+// report it for as long as the upstream is in use.
+BOOST_AUTO_TEST_CASE(ended_limit_is_removed_while_answers_continue) {
+  static_cast<void>(rate_limit::OnStated(state, kUpstream, 1, now));
+  for (int i = 1; i <= 20; ++i) {
+    const auto at = now + i * 1s;
+    static_cast<void>(rate_limit::OnNotStated(state, kUpstream, at - 1ms, at));
+  }
+  rate_limit::Tick(
+      state, [](std::string_view) { return true; }, 10s, now + 20s);
+  BOOST_TEST(state.by_incarnation.empty());
+}
+
 BOOST_AUTO_TEST_CASE(limit_is_kept_while_the_registry_lists_the_upstream) {
   static_cast<void>(rate_limit::OnStated(state, kUpstream, 1, now));
   const auto listed = [](std::string_view) { return true; };
