Test that a limited upstream with a permit is compared for every request

In a fleet that samples upstreams, a permit that is valid for a second would mostly expire before a request samples its upstream.

--- a/test/placement/placement_test.cc
+++ b/test/placement/placement_test.cc
@@ -376,6 +376,36 @@
   }
 }
 
+// Guards against permits of limited upstreams that expire since no request
+// happens to sample the upstream.
+BOOST_AUTO_TEST_CASE(upstream_that_is_always_sampled_is_compared_each_time) {
+  SetCount(100);
+  settings.sample_size = 8;
+  for (auto& [name, candidate] : pool.candidates) {
+    candidate.own_load.running = 10;
+  }
+  auto& idle = pool.candidates.begin()->second;
+  idle.own_load.running = 0;
+  const auto idle_name = pool.candidates.begin()->first;
+  const auto count = [&] {
+    int chosen = 0;
+    for (std::uint64_t i = 0; i < 200; ++i) {
+      auto chat = Chat(i);
+      chat.parts.clear();
+      chat.sampling_key = mimosadeck::Hash64(std::to_string(i));
+      const auto found = placement::Choose(pool, settings, chat, "a", {}, now);
+      BOOST_REQUIRE(found);
+      chosen += found->incarnation == idle_name ? 1 : 0;
+    }
+    return chosen;
+  };
+  BOOST_TEST(count() < 60);
+  placement::SetAlwaysSampled(pool, idle_name, true);
+  BOOST_TEST(count() == 200);
+  placement::SetAlwaysSampled(pool, idle_name, false);
+  BOOST_TEST(count() < 60);
+}
+
 BOOST_AUTO_TEST_CASE(sampled_upstream_already_tried_another_is_chosen) {
   SetCount(20);
   settings.sample_size = 1;
