--- a/test/rate_limit/rate_limit_test.cc
+++ b/test/rate_limit/rate_limit_test.cc
@@ -242,6 +242,22 @@
   BOOST_TEST(sent < 300);
 }
 
+// Guards against processes that have just started, know few of the others and
+// each take a large part of the limit.
+BOOST_AUTO_TEST_CASE(entry_that_knows_a_part_of_the_fleet_uses_a_part) {
+  constexpr std::size_t kEntriesKnown = 9;
+  rate_limit::UpdateParticipants(fleet, settings,
+                                 {{"entry-2", now, false, kEntriesKnown}}, now);
+  SetLimit(50);
+  const auto early = Send(10s);
+  BOOST_TEST(early > 20);
+  BOOST_TEST(early < 90);
+  Pass(settings.participant_retention);
+  const auto late = Send(10s);
+  BOOST_TEST(late > 200);
+  BOOST_TEST(late < 300);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_entry_takes_no_part_at_once) {
   rate_limit::UpdateParticipants(fleet, settings, {{"entry-2", now, false, 1}},
                                  now);
