Count the first seconds after a limit is stated in shared_limit_test

Cause: every entry knew the limit five seconds before requests were counted, so the test did not show that the limit holds in its first seconds.

Change: each entry learns of it within the first counted second.

--- a/test/rate_limit/shared_limit_test.cc
+++ b/test/rate_limit/shared_limit_test.cc
@@ -68,6 +68,8 @@
       entries_[i].name = "entry-" + std::to_string(i);
       entries_[i].clock_offset = milliseconds(Pick(300)) - 150ms;
       Start(i, -60s);
+      // The first seconds after the limit is stated are counted, too.
+      entries_[i].learns_limit_at = milliseconds(Pick(1000));
     }
   }
 
