Log the requests that the end of a planned stop cuts off

`request_cut_off` names each with the time since its arrival and until its limit; `request_ended` tells with `stop_ms` when in a stop it arrived. No decision changes.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -15,6 +15,7 @@
 #include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/state.h"
 #include "mimosadeckd/edge/sync.h"
+#include "mimosadeckd/edge/work.h"
 #include "mimosadeckd/refusal.h"
 
 namespace mimosadeck::edge {
@@ -237,6 +238,7 @@
       co_await Sleep(kStopPollInterval);
     }
     state_.stopping = true;
+    LogRequestsCutOff(state_);
     telemetry::Log(telemetry::level::info, "stopped",
                    {{"requests_cut_off", std::to_string(cut_off)}});
     io_.stop();
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -35,6 +35,11 @@
   return "unlisted";
 }
 
+std::string MillisecondsOrNone(
+    const std::optional<std::chrono::milliseconds>& time) {
+  return time ? std::to_string(time->count()) : "none";
+}
+
 void LogAttempt(const request_context& context,
                 const placement::selection& selection,
                 const attempt_failure& failed,
@@ -273,19 +278,37 @@
        {"attempts", context.attempt_log},
        {"events", std::to_string(context.framer.events)},
        {"expected_ms",
-        context.expected_first_answer
-            ? std::to_string(context.expected_first_answer->count())
-            : "none"},
-       {"begun_ms", context.time_to_first_answer
-                        ? std::to_string(context.time_to_first_answer->count())
-                        : "none"},
+        internal::MillisecondsOrNone(context.expected_first_answer)},
+       {"begun_ms", internal::MillisecondsOrNone(context.time_to_first_answer)},
        {"pause_ms", std::to_string(context.longest_event_gap.count())},
        {"limited_upstreams", std::to_string(context.limited_upstreams)},
+       {"stop_ms", internal::MillisecondsOrNone(context.arrived_in_stop)},
        {"long_prompt", context.has_long_prompt ? "yes" : "no"},
        {"beside_long_prompts", context.beside_long_prompts ? "yes" : "no"},
        {"taken_ms", std::to_string(elapsed.count())}});
 }
 
+void LogRequestsCutOff(const edge_state& state) {
+  for (const auto* context : *state.running_requests) {
+    const auto time_left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            context->deadline - std::chrono::steady_clock::now());
+    telemetry::Log(
+        telemetry::level::warning, "request_cut_off",
+        {{"request", context->caller_request.id},
+         {"route", context->route ? context->route->name : "none"},
+         {"attempts", context->attempt_log},
+         {"events", std::to_string(context->framer.events)},
+         {"begun_ms",
+          internal::MillisecondsOrNone(context->time_to_first_answer)},
+         {"stop_ms", internal::MillisecondsOrNone(context->arrived_in_stop)},
+         {"taken_ms",
+          std::to_string(
+              ToMilliseconds(ElapsedSince(context->arrived_at)).count())},
+         {"left_ms", std::to_string(time_left.count())}});
+  }
+}
+
 asio::awaitable<void> Refuse(edge_state& state,
                              const request_context& context,
                              daemon::refusal reason,
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -99,6 +99,22 @@
   return std::nullopt;
 }
 
+/** @brief Lists a request as running for the lifetime of this object. */
+class running_request {
+ public:
+  running_request(const edge_state& state, const request_context& context)
+      : all_(state.running_requests), context_(context) {
+    all_->insert(&context_);
+  }
+  ~running_request() { all_->erase(&context_); }
+  running_request(const running_request&) = delete;
+  running_request& operator=(const running_request&) = delete;
+
+ private:
+  std::shared_ptr<std::set<const request_context*>> all_;
+  const request_context& context_;
+};
+
 }  // namespace
 }  // namespace internal
 
@@ -116,7 +132,13 @@
                                   net::exchange& exchange) {
   const auto context = std::make_shared<request_context>();
   context->arrived_at = internal::steady::now();
+  if (state.draining_since) {
+    context->arrived_in_stop =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            SuspendAwareNow() - *state.draining_since);
+  }
   context->request = std::move(request);
+  const internal::running_request running(state, *context);
   if (auto reason = internal::Resolve(state, *context)) {
     co_await Refuse(state, *context, *std::move(reason), exchange);
     co_return;
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
   mono_time ended_at;
 };
 
+/** @brief State of a caller's request; see work.h. */
+struct request_context;
+
 /**
  * @brief State shared by all components of an entry's daemon.
  *
@@ -132,6 +136,10 @@
   /** The lease for tasks that only one entry may perform. */
   lease::contender lease;
 
+  /** Requests of callers that are in progress, for the log of a stop; shared
+   * because requests may outlive the event loop. */
+  std::shared_ptr<std::set<const request_context*>> running_requests{
+      std::make_shared<std::set<const request_context*>>()};
   /** When a planned stop began; unset while the entry serves normally. */
   std::optional<mono_time> draining_since;
   /** The event loop is about to end; background loops return. */
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -29,6 +29,9 @@
   placement::job job;
   std::chrono::steady_clock::time_point arrived_at;
   std::chrono::steady_clock::time_point deadline;
+  /** Time from the start of a planned stop to the arrival; unset if the request
+   * arrived before it. */
+  std::optional<std::chrono::milliseconds> arrived_in_stop;
 
   forwarding::progress progress;
   /** Splits a streamed response into whole events. */
@@ -108,6 +111,9 @@
                    int status,
                    std::string_view outcome);
 
+/** @brief Logs the requests that the end of a planned stop cuts off. */
+void LogRequestsCutOff(const edge_state& state);
+
 /**
  * @brief Returns the fingerprint of a request.
  *
