Add a failing test: streams accepted late in a planned stop are cut off

Real processes: an entry with a grace period of 8 s is stopped while callers send a stream of 6 s every 0.1 s (limit 15 s, not resumable). Streams sent later than 3 s after SIGTERM, when every directory answer that lists the entry has expired, must be complete or not run.

--- a/test/system/one_entry.h
+++ b/test/system/one_entry.h
@@ -72,6 +72,14 @@
   return json::serialize(out);
 }
 
+/** @brief Settings of the entry of a test. */
+struct entry_options {
+  /** Time from SIGTERM until the process is killed. */
+  std::chrono::seconds stop_grace{4};
+  /** The first manifest. */
+  std::string manifest{Manifest(1, "k1")};
+};
+
 /** @brief Fixture that runs one entry process with a store and two upstreams.
  */
 struct one_entry {
@@ -81,6 +89,7 @@
   upstream_stand_in first{io, "u1"};
   upstream_stand_in second{io, "u2"};
   net::connection_cache cache{4};
+  std::chrono::seconds stop_grace;
   std::filesystem::path settings;
   std::unique_ptr<process> entry;
   std::string callers;
@@ -88,8 +97,9 @@
   std::string directory;
   std::string control;
 
-  one_entry() {
-    store.Put("op", "config", Manifest(1, "k1"));
+  explicit one_entry(entry_options options = {})
+      : stop_grace(options.stop_grace) {
+    store.Put("op", "config", options.manifest);
     store.Put("servers", "u1", first.Entry("ready"));
     store.Put("servers", "u2", second.Entry("ready"));
     Start();
@@ -118,7 +128,7 @@
         {"zone", "a"},
         {"listen", listen},
         {"port_range", {0, 0}},
-        {"bounds", {{"grace_s", 4}}},
+        {"bounds", {{"grace_s", stop_grace.count()}}},
         {"provider", {{"address", store.Address()}}},
         {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
     std::ofstream(path) << json::serialize(content);
@@ -155,7 +165,7 @@
     net::call_options options;
     options.server = address;
     options.address = std::move(address);
-    options.deadline = std::chrono::steady_clock::now() + kWaitTimeout;
+    options.deadline = std::chrono::steady_clock::now() + call_timeout;
     auto failed = co_await call.Send(std::move(request), std::move(options));
     if (failed) {
       co_return;
@@ -251,6 +261,8 @@
   /** @brief Sets the response of both upstreams. */
   void SetAnswers(answer next) { first.next = second.next = next; }
 
+  /** Timeout for a call of Exchange(). */
+  std::chrono::milliseconds call_timeout{kWaitTimeout};
   int last_id{};
 };
 
--- /dev/null
+++ b/test/system/planned_stop_system_test.cc
@@ -0,0 +1,160 @@
+#define BOOST_TEST_MODULE planned_stop_system
+#include <boost/test/included/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <deque>
+#include <string>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "system/one_entry.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::platform_test::kStreamEvents;
+using mimosadeck::platform_test::WholeStream;
+using namespace mimosadeck::system_test;
+namespace net = mimosadeck::net;
+using steady = std::chrono::steady_clock;
+
+/** Time from SIGTERM after which a stream that is accepted must be completed;
+ * callers may use an older directory answer until then. */
+constexpr auto kNoticeTime = 3s;
+constexpr auto kStopGrace = 8s;
+/** Longest time of a stream, by its route and by its callers. */
+constexpr auto kStreamLimit = 15s;
+constexpr auto kLongStream = 6s;
+constexpr auto kRequestPause = 100ms;
+
+/** @brief Returns Manifest() with a long time limit for streams. */
+std::string ManifestOfLongStreams() {
+  auto out = json::parse(Manifest(1, "k1")).as_object();
+  for (auto& route : out["routes"].as_array()) {
+    route.as_object()["timeout_ms"] =
+        std::chrono::milliseconds(kStreamLimit).count();
+  }
+  return json::serialize(out);
+}
+
+/** @brief A stream of a caller, as far as it was received. */
+struct received_stream {
+  std::string id;
+  steady::time_point sent_at;
+  net::http_response response;
+  bool complete{};
+  bool done{};
+};
+
+/** @brief Fixture that stops an entry while callers go on using it. */
+struct stopping_entry : one_entry {
+  std::deque<received_stream> streams;
+  steady::time_point stop_sent_at;
+
+  stopping_entry() : one_entry({kStopGrace, ManifestOfLongStreams()}) {
+    call_timeout = kStreamLimit;
+  }
+
+  void SendStopSignal() {
+    stop_sent_at = steady::now();
+    entry->Signal(SIGTERM);
+  }
+
+  void Run(steady::duration time) {
+    io.restart();
+    io.run_for(time);
+  }
+
+  /** @brief Sends a stream request without waiting for its answer. */
+  void StartStream() {
+    auto request = Request("/once/x");
+    request.fields["x-request-deadline-ms"] =
+        std::to_string(std::chrono::milliseconds(kStreamLimit).count());
+    auto& out = streams.emplace_back();
+    out.id = LastId();
+    out.sent_at = steady::now();
+    auto work =
+        Exchange(callers, std::move(request), out.response, out.complete);
+    asio::co_spawn(io, std::move(work),
+                   [&out](std::exception_ptr) { out.done = true; });
+  }
+
+  void SetStreamTime(std::chrono::milliseconds time) {
+    first.slow_pause = second.slow_pause = time / kStreamEvents;
+    SetAnswers(answer::slow_stream);
+  }
+
+  /** @brief Sends stream requests until the process ends, and checks that each
+   * that was sent after the notice time is complete or was not run. */
+  void CheckStreamsAfterNotice() {
+    while (entry->IsRunning() && steady::now() < stop_sent_at + kStopGrace) {
+      StartStream();
+      Run(kRequestPause);
+    }
+    BOOST_REQUIRE(Eventually([this] {
+      return std::all_of(streams.begin(), streams.end(),
+                         [](const auto& sent) { return sent.done; });
+    }));
+    for (const auto& sent : streams) {
+      if (sent.sent_at <= stop_sent_at + kNoticeTime) {
+        continue;
+      }
+      BOOST_TEST_CONTEXT(sent.id << " status " << sent.response.status) {
+        const bool is_whole =
+            sent.complete && sent.response.body == WholeStream(sent.id);
+        BOOST_TEST((is_whole || !HasRun(sent.id)));
+      }
+    }
+  }
+
+  bool HasRun(const std::string& id) const {
+    for (const auto* upstream : {&first, &second}) {
+      for (const auto& run : upstream->runs) {
+        if (run.request.fields.at("x-request-id") == id) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(stops, stopping_entry)
+
+// Guards against an entry that has served few streams, such as one that was
+// restarted, and accepts streams in a planned stop that its end cuts off.
+BOOST_AUTO_TEST_CASE(stream_of_unknown_length_in_a_stop_is_whole_or_not_run) {
+  SetStreamTime(kLongStream);
+  SendStopSignal();
+  CheckStreamsAfterNotice();
+}
+
+// Guards against streams that take longer than all earlier ones: the time of
+// earlier streams says nothing of the next one.
+BOOST_AUTO_TEST_CASE(longer_stream_in_a_stop_is_whole_or_not_run) {
+  SetAnswers(answer::stream);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(Call("/once/x").status == 200);
+  }
+  SetStreamTime(kLongStream);
+  SendStopSignal();
+  CheckStreamsAfterNotice();
+}
+
+// Guards against a reload of the settings in a planned stop which lets the
+// entry accept streams for a longer stop than the one that is under way.
+BOOST_AUTO_TEST_CASE(reloaded_grace_in_a_stop_does_not_move_its_end) {
+  SetStreamTime(kLongStream);
+  SendStopSignal();
+  Run(500ms);
+  stop_grace = 30s;
+  static_cast<void>(WriteSettings("entry-1", "127.0.0.1"));
+  entry->Signal(SIGHUP);
+  CheckStreamsAfterNotice();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
