Accept in a planned stop only what its own time limit ends in time

Cause: admission in a stop rested on an estimate. Once callers can know of the stop, a request was taken if the longest of the last 64 served of its route would end in time, or, with fewer than 8 served, until half of the stop was left. Neither says how long this request takes: a restarted entry has no samples, longer streams come after shorter ones, and a reload changed the period that admission counted with but not the end. The class: a promise that is kept by a guess.

The notice time is 0.5 s shorter than callers' directory answers last, since a busy process handles the signal late and its callers' answers expire from the signal on. The end of the stop is fixed when it begins. Of a short grace period an eighth is reserved instead of 0.4 s, so that a stop of 2 s does not end before its last sixth.

Ruled out: a wider margin on the estimate, which moves the odds only.

service_time_test: two cases go, since they state the estimate. "Short stream is accepted until late in a stop" becomes "request whose limit fits is accepted until late in a stop": a stream of 0.3 s with a limit of 15 s is now refused after the notice time, since nothing says that it will be short; "age of running streams" and "request that was not served gives no sample" stated parts of the longest time, which is gone. The check that nothing is cut now also covers earlier streams that were shorter, and none.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -180,7 +180,7 @@
       }
       if (signal == SIGHUP) {
         Reload();
-      } else if (!state_.draining_since) {
+      } else if (!state_.stop) {
         asio::co_spawn(io_, Stop(), asio::detached);
       }
       WaitForSignal();
@@ -209,18 +209,18 @@
    * entries and requests have ended, up to the grace period. */
   asio::awaitable<void> Stop() {
     const auto began = SuspendAwareNow();
-    state_.draining_since = began;
+    const auto ends =
+        began + forwarding::StopDuration(state_.machine.bounds.stop_grace);
+    state_.stop = planned_stop{began, ends};
     telemetry::Log(
         telemetry::level::info, "stop_began",
         {{"requests_running", std::to_string(callers_->ActiveExchanges())}});
     callers_->CloseAfterResponses();
     duties_.Release();
     gossip_.Announce();
-    const auto stop_deadline =
-        began + state_.machine.bounds.stop_grace - kStopReserve;
     const auto callers_refreshed_at =
         began + kDirectoryTtl * kDirectoryTtlFactor;
-    while (SuspendAwareNow() < stop_deadline &&
+    while (SuspendAwareNow() < ends &&
            (SuspendAwareNow() < callers_refreshed_at ||
             callers_->ActiveExchanges() > 0)) {
       co_await Sleep(kStopPollInterval);
@@ -232,9 +232,9 @@
         [&is_row_removed](std::exception_ptr) { is_row_removed = true; });
     const auto time_left =
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            stop_deadline - SuspendAwareNow());
+            ends - SuspendAwareNow());
     const auto cut_off = co_await callers_->Drain(time_left);
-    while (!is_row_removed && SuspendAwareNow() < stop_deadline) {
+    while (!is_row_removed && SuspendAwareNow() < ends) {
       co_await Sleep(kStopPollInterval);
     }
     state_.stopping = true;
--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -157,7 +157,7 @@
                     {"reason", "most other entries are unreachable"}});
     lease::Release(state_.lease);
   }
-  if (is_cut_off_ && !state_.draining_since &&
+  if (is_cut_off_ && !state_.stop &&
       (lease::IsReleased(state_.lease) || !lease::IsHeld(state_.lease, now))) {
     is_cut_off_ = false;
     StepDown("released after loss of contact");
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -86,46 +86,20 @@
  * manifests keep adding and removing routes. */
 constexpr std::size_t kMaxTimedRoutes = 4096;
 
-std::shared_ptr<forwarding::service_times> ServiceTimesOf(
-    edge_state& state,
-    const std::string& route) {
+/** @brief Records the time from the first attempt to the end of a request. */
+void RecordServiceTime(edge_state& state,
+                       const request_context& context,
+                       mono_time started_at) {
   auto& all = state.service_times;
+  const auto& route = context.route->name;
   if (all.size() >= kMaxTimedRoutes && !all.contains(route)) {
     all.clear();
   }
-  auto& times = all[route];
-  if (!times) {
-    times = std::make_shared<forwarding::service_times>();
-  }
-  return times;
+  forwarding::OnServed(all[route], state.service_time_options,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           SuspendAwareNow() - started_at));
 }
 
-/** @brief Measures the time of a request from its first attempt to its end. */
-class timed_request {
- public:
-  timed_request(std::shared_ptr<forwarding::service_times> times,
-                const forwarding::service_time_options& options)
-      : times_(std::move(times)),
-        options_(options),
-        started_at_(SuspendAwareNow()) {
-    forwarding::OnStarted(*times_, started_at_);
-  }
-  ~timed_request() {
-    forwarding::OnEnded(*times_, options_, started_at_, is_served_,
-                        SuspendAwareNow());
-  }
-  timed_request(const timed_request&) = delete;
-  timed_request& operator=(const timed_request&) = delete;
-
-  void OnServed() { is_served_ = true; }
-
- private:
-  std::shared_ptr<forwarding::service_times> times_;
-  forwarding::service_time_options options_;
-  mono_time started_at_;
-  bool is_served_{};
-};
-
 /** @brief Clears the suspicion against a request that completed without a
  * crash. */
 void ClearSuspect(edge_state& state, request_context& context) {
@@ -340,9 +314,7 @@
   retry::OnFirstAttempt(state.retry_budgets[context->service],
                         internal::RetryLimit(state), EntryCount(state),
                         SuspendAwareNow());
-  internal::timed_request timed(
-      internal::ServiceTimesOf(state, context->route->name),
-      state.service_time_options);
+  const auto started_at = SuspendAwareNow();
   while (true) {
     const auto selection = internal::ChooseUpstream(state, *context);
     if (!selection) {
@@ -365,7 +337,7 @@
       internal::ClearSuspect(state, *context);
       const auto status = complete->response.status;
       co_await exchange.Respond(std::move(complete->response));
-      timed.OnServed();
+      internal::RecordServiceTime(state, *context, started_at);
       LogRequestEnd(state, *context, status,
                     complete->is_success ? "served" : "passed_on");
       co_return;
@@ -373,7 +345,7 @@
     if (std::holds_alternative<stream_finished>(outcome)) {
       internal::ClearSuspect(state, *context);
       const bool ended = co_await exchange.EndStream();
-      timed.OnServed();
+      internal::RecordServiceTime(state, *context, started_at);
       LogRequestEnd(state, *context, 200, ended ? "served" : "caller_left");
       co_return;
     }
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -251,7 +251,7 @@
   out.set_caller_address(state_.machine.caller_address);
   out.set_control_address(state_.machine.control_address);
   out.set_ready(IsReady(state_));
-  out.set_leaving(state_.draining_since.has_value());
+  out.set_leaving(state_.stop.has_value());
   out.set_wall_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
                       LocalTime(state_).time_since_epoch())
                       .count());
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -13,6 +13,10 @@
 constexpr std::chrono::milliseconds kStartupRetryAfter{300};
 /** Retry-After of a stopping entry: other entries can serve immediately. */
 constexpr std::chrono::milliseconds kStoppingRetryAfter{50};
+/** Longest delay until a busy process handles the stop signal. The stop is
+ * timed from there on, but callers' directory answers expire from the signal
+ * on. */
+constexpr std::chrono::milliseconds kMaxSignalDelay{500};
 /** Expected answer length without a hint, as a ratio of the maximum length. */
 constexpr double kExpectedLengthRatio = 0.5;
 
@@ -38,21 +42,29 @@
   return out;
 }
 
-bool IsTooLateToStart(const edge_state& state, const routing::route& route) {
-  if (!state.draining_since) {
+/** @brief Returns the time after which a request is answered in any case. */
+std::chrono::milliseconds TimeLimitOf(const request_context& context) {
+  const auto timeout = context.route->timeout;
+  return std::min(context.caller_request.time_limit.value_or(timeout), timeout);
+}
+
+bool IsTooLateToStart(const edge_state& state, const request_context& context) {
+  if (!state.stop) {
     return false;
   }
-  const auto now = SuspendAwareNow();
+  using std::chrono::milliseconds;
+  const auto& [began_at, ends_at] = *state.stop;
   forwarding::stop_window stop;
-  stop.duration = state.machine.bounds.stop_grace - kStopReserve;
-  stop.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      *state.draining_since + stop.duration - now);
-  stop.notice_delay = kDirectoryTtl * kDirectoryTtlFactor;
-  const auto times = state.service_times.find(route.name);
+  stop.duration = std::chrono::duration_cast<milliseconds>(ends_at - began_at);
+  stop.remaining =
+      std::chrono::duration_cast<milliseconds>(ends_at - SuspendAwareNow());
+  stop.notice_delay = kDirectoryTtl * kDirectoryTtlFactor - kMaxSignalDelay;
+  const auto times = state.service_times.find(context.route->name);
   return !forwarding::CanFinishBeforeStop(
       times == state.service_times.end() ? forwarding::service_times{}
-                                         : *times->second,
-      state.service_time_options, route.kind, stop, now);
+                                         : times->second,
+      state.service_time_options, context.route->kind, TimeLimitOf(context),
+      stop);
 }
 
 /** @brief Determines the route and the account. @return The reason to refuse
@@ -84,7 +96,7 @@
       return refusal{result_code::key_unknown, executed::no, {}, ""};
     }
   }
-  if (IsTooLateToStart(state, *context.route)) {
+  if (IsTooLateToStart(state, context)) {
     return refusal{result_code::draining, executed::no, kStoppingRetryAfter,
                    ""};
   }
@@ -132,10 +144,10 @@
                                   net::exchange& exchange) {
   const auto context = std::make_shared<request_context>();
   context->arrived_at = internal::steady::now();
-  if (state.draining_since) {
+  if (state.stop) {
     context->arrived_in_stop =
         std::chrono::duration_cast<std::chrono::milliseconds>(
-            SuspendAwareNow() - *state.draining_since);
+            SuspendAwareNow() - state.stop->began_at);
   }
   context->request = std::move(request);
   const internal::running_request running(state, *context);
@@ -146,10 +158,7 @@
   context->service = std::string(
       routing::PickService(*context->route, context->caller_request.id));
   context->job = internal::MakeJob(context->caller_request, *context->route);
-  const auto limit = std::min(
-      context->caller_request.time_limit.value_or(context->route->timeout),
-      context->route->timeout);
-  context->deadline = context->arrived_at + limit;
+  context->deadline = context->arrived_at + internal::TimeLimitOf(*context);
   exchange.OnCallerDisconnect([context] {
     context->caller_left = true;
     if (context->active_call) {
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -56,7 +56,7 @@
 }
 
 bool IsReady(const edge_state& state) {
-  return state.table && state.registry_synced_at && !state.draining_since;
+  return state.table && state.registry_synced_at && !state.stop;
 }
 
 wall_time LocalTime(edge_state& state) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -37,9 +37,6 @@
 inline constexpr std::chrono::milliseconds kDirectoryTtl{1000};
 /** Callers cache a directory answer for up to three times its TTL. */
 inline constexpr int kDirectoryTtlFactor = 3;
-/** Part of the planned-stop period reserved for the process to exit before it
- * is killed. */
-inline constexpr std::chrono::milliseconds kStopReserve{400};
 
 /** @brief An attempt that broke off, possibly because its upstream crashed. */
 struct broken_attempt {
@@ -57,6 +54,13 @@
   mono_time ended_at;
 };
 
+/** @brief A planned stop of this entry. */
+struct planned_stop {
+  mono_time began_at;
+  /** When requests that are still in progress are cut off. */
+  mono_time ends_at;
+};
+
 /** @brief State of a caller's request; see work.h. */
 struct request_context;
 
@@ -110,10 +114,8 @@
   rate_limit::permit_table permits;
   /** Retry budgets by service name. */
   std::map<std::string, retry::budget, std::less<>> retry_budgets;
-  /** Service times by route name; shared because requests may outlive the event
-   * loop. */
-  std::map<std::string, std::shared_ptr<forwarding::service_times>, std::less<>>
-      service_times;
+  /** Service times by route name. */
+  std::map<std::string, forwarding::service_times, std::less<>> service_times;
   forwarding::service_time_options service_time_options;
   /** Response bytes that were read from upstreams but not yet forwarded. */
   std::shared_ptr<std::uint64_t> buffered_response_bytes{
@@ -140,8 +142,8 @@
    * because requests may outlive the event loop. */
   std::shared_ptr<std::set<const request_context*>> running_requests{
       std::make_shared<std::set<const request_context*>>()};
-  /** When a planned stop began; unset while the entry serves normally. */
-  std::optional<mono_time> draining_since;
+  /** Unset while the entry serves normally. */
+  std::optional<planned_stop> stop;
   /** The event loop is about to end; background loops return. */
   bool stopping{};
 };
--- a/apps/mimosadeckd/edge/upstream_signs.cc
+++ b/apps/mimosadeckd/edge/upstream_signs.cc
@@ -195,7 +195,7 @@
     heard.push_back({name, member.last_seen_at, member.last.leaving(),
                      member.last.members_known()});
   }
-  state.participants.leaving = state.draining_since.has_value();
+  state.participants.leaving = state.stop.has_value();
   rate_limit::UpdateParticipants(state.participants, state.rate_limit_options,
                                  heard, SuspendAwareNow());
 }
--- a/src/forwarding/service_time.cc
+++ b/src/forwarding/service_time.cc
@@ -7,6 +7,10 @@
 namespace internal {
 namespace {
 
+/** Longest time for a process to exit; a short grace period is used in full but
+ * for a fraction, so that its last sixth is still served. */
+constexpr std::chrono::milliseconds kMaxStopReserve{400};
+constexpr int kStopReserveDivisor = 8;
 /** Without enough samples, streams are accepted until this fraction of the stop
  * remains, and other requests until a third of it remains. */
 constexpr double kStreamFraction = 0.5;
@@ -22,60 +26,52 @@
 }  // namespace
 }  // namespace internal
 
-void OnStarted(service_times& state, mono_time now) {
-  state.running.insert(now);
-}
-
-void OnEnded(service_times& state,
-             const service_time_options& settings,
-             mono_time started,
-             bool is_served,
-             mono_time now) {
-  const auto found = state.running.find(started);
-  if (found != state.running.end()) {
-    state.running.erase(found);
-  }
-  if (!is_served) {
-    return;
-  }
-  state.served.push_back(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - started));
+void OnServed(service_times& state,
+              const service_time_options& settings,
+              std::chrono::milliseconds duration) {
+  state.served.push_back(duration);
   if (state.served.size() > settings.max_samples) {
     state.served.pop_front();
   }
 }
 
-std::optional<time_summary> RecentTimes(const service_times& state,
-                                        const service_time_options& settings,
-                                        mono_time now) {
+std::optional<std::chrono::milliseconds> MedianTime(
+    const service_times& state,
+    const service_time_options& settings) {
   if (state.served.size() < settings.min_samples) {
     return std::nullopt;
   }
   std::vector<std::chrono::milliseconds> times(state.served.begin(),
                                                state.served.end());
-  std::sort(times.begin(), times.end());
-  time_summary out{times[times.size() / 2], times.back()};
-  if (!state.running.empty()) {
-    out.longest = std::max(
-        out.longest, std::chrono::duration_cast<std::chrono::milliseconds>(
-                         now - *state.running.begin()));
-  }
-  return out;
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+std::chrono::milliseconds StopDuration(std::chrono::milliseconds grace) {
+  return grace - std::min(internal::kMaxStopReserve,
+                          grace / internal::kStopReserveDivisor);
 }
 
 bool CanFinishBeforeStop(const service_times& state,
                          const service_time_options& settings,
                          routing::request_kind kind,
-                         stop_window stop,
-                         mono_time now) {
-  const auto recent = RecentTimes(state, settings, now);
-  if (!recent) {
-    return internal::IsEarlyInStop(kind, stop);
+                         std::chrono::milliseconds time_limit,
+                         stop_window stop) {
+  if (time_limit <= stop.remaining) {
+    return true;
   }
   const bool callers_may_know =
       stop.duration - stop.remaining > stop.notice_delay;
-  const std::chrono::duration<double, std::milli> needed =
-      callers_may_know ? recent->longest : recent->median;
+  if (callers_may_know) {
+    return false;
+  }
+  const auto median = MedianTime(state, settings);
+  if (!median) {
+    return internal::IsEarlyInStop(kind, stop);
+  }
+  const std::chrono::duration<double, std::milli> needed = *median;
   return stop.remaining >= settings.margin * needed;
 }
 
--- a/src/forwarding/service_time.h
+++ b/src/forwarding/service_time.h
@@ -5,9 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
-#include <set>
 
-#include "base/time.h"
 #include "routing/routing.h"
 
 namespace mimosadeck::forwarding {
@@ -16,8 +14,6 @@
 struct service_times {
   /** Durations of the last served requests, oldest first. */
   std::deque<std::chrono::milliseconds> served;
-  /** Start times of the running requests. */
-  std::multiset<mono_time> running;
 };
 
 /** @brief Settings of the service time estimate. */
@@ -31,34 +27,16 @@
   double margin{1.3};
 };
 
-/** @brief Records the start of a request. */
-void OnStarted(service_times& state, mono_time now);
+/** @brief Records the duration of a request that was served. */
+void OnServed(service_times& state,
+              const service_time_options& settings,
+              std::chrono::milliseconds duration);
 
-/**
- * @brief Records the end of a request.
- * @param started Time passed to OnStarted.
- * @param is_served False if the duration must not be used as a sample.
- */
-void OnEnded(service_times& state,
-             const service_time_options& settings,
-             mono_time started,
-             bool is_served,
-             mono_time now);
-
-/** @brief Summary of recent service times. */
-struct time_summary {
-  /** Median duration of the served requests. */
-  std::chrono::milliseconds median{};
-  /** Longest duration, including the current age of running requests. */
-  std::chrono::milliseconds longest{};
-};
-
-/** @brief Summarizes recent service times; nothing with fewer samples than
- * `min_samples`. */
-[[nodiscard]] std::optional<time_summary> RecentTimes(
+/** @brief Returns the median duration of the served requests; nothing with
+ * fewer samples than `min_samples`. */
+[[nodiscard]] std::optional<std::chrono::milliseconds> MedianTime(
     const service_times& state,
-    const service_time_options& settings,
-    mono_time now);
+    const service_time_options& settings);
 
 /** @brief A planned stop of the entry, at the arrival of a request. */
 struct stop_window {
@@ -70,19 +48,29 @@
   std::chrono::milliseconds notice_delay{};
 };
 
+/**
+ * @brief Returns the part of a grace period in which requests are completed;
+ * the rest is reserved for the process to exit before it is killed.
+ */
+[[nodiscard]] std::chrono::milliseconds StopDuration(
+    std::chrono::milliseconds grace);
+
 /**
  * @brief Returns true if a request that arrives during a planned stop is
- * accepted, since it is expected to finish before the process ends.
+ * accepted.
+ *
+ * A request whose time limit ends before the process does is always accepted:
+ * whatever its service time, it is answered. Any other is accepted only while
+ * callers cannot know of the stop, since a refusal costs them one of few
+ * retries, and only if the median service time fits.
  *
- * While callers cannot know of the stop, the median service time decides, since
- * a refusal costs the caller one of few retries. Afterwards callers could have
- * chosen another entry, and the longest service time decides.
+ * @param time_limit Time after which the request is answered in any case.
  */
 [[nodiscard]] bool CanFinishBeforeStop(const service_times& state,
                                        const service_time_options& settings,
                                        routing::request_kind kind,
-                                       stop_window stop,
-                                       mono_time now);
+                                       std::chrono::milliseconds time_limit,
+                                       stop_window stop);
 
 }  // namespace mimosadeck::forwarding
 
--- a/test/forwarding/service_time_test.cc
+++ b/test/forwarding/service_time_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE service_time
 #include <boost/test/included/unit_test.hpp>
 
+#include <algorithm>
 #include <random>
 
 #include "forwarding/service_time.h"
@@ -8,20 +9,20 @@
 namespace {
 
 using namespace std::chrono_literals;
-using mimosadeck::mono_time;
 using std::chrono::milliseconds;
 namespace forwarding = mimosadeck::forwarding;
 using mimosadeck::routing::request_kind;
 
 constexpr auto kStopDuration = 7600ms;
-/** Longest time for which callers cache a directory answer. */
-constexpr auto kNoticeDelay = 3000ms;
+/** Time in which callers may use a directory answer from before the stop. */
+constexpr auto kNoticeDelay = 2500ms;
+/** Time limit of a long stream, longer than a stop. */
+constexpr auto kLongLimit = 15000ms;
 
 /** An entry in a planned stop and streams of one route, in virtual time. */
 struct planned_stop {
   forwarding::service_times times;
   forwarding::service_time_options options;
-  mono_time now{1h};
   std::mt19937 random{11};
 
   /** Lengths distributed as at the sites: a few take three times the median. */
@@ -31,39 +32,28 @@
                                           spread(random)));
   }
 
-  void Serve(milliseconds length) {
-    const auto started = now;
-    forwarding::OnStarted(times, started);
-    now += length;
-    forwarding::OnEnded(times, options, started, true, now);
-  }
-
   void ServeMany(milliseconds median) {
     for (int i = 0; i < 100; ++i) {
-      Serve(Length(median));
+      forwarding::OnServed(times, options, Length(median));
     }
   }
 
-  bool IsAccepted(milliseconds since_stop, request_kind kind) const {
+  bool IsAccepted(milliseconds since_stop,
+                  request_kind kind,
+                  milliseconds time_limit) const {
     return forwarding::CanFinishBeforeStop(
-        times, options, kind,
-        {kStopDuration, kStopDuration - since_stop, kNoticeDelay}, now);
+        times, options, kind, time_limit,
+        {kStopDuration, kStopDuration - since_stop, kNoticeDelay});
   }
 
-  struct outcome {
-    int accepted{};
-    int cut_off{};
-  };
-
-  /** Counts the accepted streams that arrive from a time of the stop on, and
-   * those of them that its end cuts off. */
-  outcome Stop(milliseconds median, milliseconds from) {
-    outcome out;
-    for (auto at = from; at < kStopDuration; at += 20ms) {
-      if (IsAccepted(at, request_kind::stream)) {
-        ++out.accepted;
-        out.cut_off += at + Length(median) > kStopDuration ? 1 : 0;
-      }
+  /** Counts the streams that are accepted after the notice delay and then cut
+   * off by the end of the stop. */
+  int CountCutOff(milliseconds median, milliseconds time_limit) {
+    int out = 0;
+    for (auto at = kNoticeDelay + 1ms; at < kStopDuration; at += 20ms) {
+      const auto length = std::min(Length(median), time_limit);
+      const bool is_accepted = IsAccepted(at, request_kind::stream, time_limit);
+      out += is_accepted && at + length > kStopDuration ? 1 : 0;
     }
     return out;
   }
@@ -72,57 +62,82 @@
 BOOST_FIXTURE_TEST_SUITE(stops, planned_stop)
 
 // Guards against streams that are cut off at the end of a planned stop because
-// a fixed fraction of it, rather than their length, decides on acceptance.
+// earlier streams were shorter, or there were none.
 BOOST_AUTO_TEST_CASE(stream_accepted_in_a_stop_ends_before_it) {
-  for (const auto median : {300ms, 1000ms, 2500ms, 4000ms, 6000ms}) {
-    times = {};
-    ServeMany(median);
-    const auto stopped = Stop(median, kNoticeDelay + 1ms);
-    BOOST_TEST_CONTEXT(median.count()) {
-      BOOST_TEST(stopped.cut_off == 0);
+  for (const auto earlier : {0ms, 300ms, 1000ms, 2500ms, 6000ms}) {
+    for (const auto median : {300ms, 1000ms, 2500ms, 4000ms, 6000ms}) {
+      for (const auto limit : {1500ms, 4000ms, kLongLimit}) {
+        times = {};
+        if (earlier > 0ms) {
+          ServeMany(earlier);
+        }
+        BOOST_TEST_CONTEXT(earlier.count()
+                           << ' ' << median.count() << ' ' << limit.count()) {
+          BOOST_TEST(CountCutOff(median, limit) == 0);
+        }
+      }
     }
   }
 }
 
-// Guards against refusing short streams for half of the stop without need.
-BOOST_AUTO_TEST_CASE(short_stream_is_accepted_until_late_in_a_stop) {
-  ServeMany(300ms);
-  BOOST_TEST(IsAccepted(5000ms, request_kind::stream));
+// Guards against refusing requests without need until their time limit, though
+// they are certain to end before the stop.
+BOOST_AUTO_TEST_CASE(
+    request_whose_limit_fits_is_accepted_until_late_in_a_stop) {
+  for (const auto kind : {request_kind::idempotent, request_kind::stream,
+                          request_kind::non_idempotent}) {
+    BOOST_TEST(IsAccepted(6100ms, kind, 1500ms));
+    BOOST_TEST(!IsAccepted(6101ms, kind, 1500ms));
+  }
+  ServeMany(6000ms);
+  BOOST_TEST(IsAccepted(6100ms, request_kind::stream, 1500ms));
 }
 
 // Guards against refusing every request that might outlast the stop, which
 // costs callers that cannot know of it their only retry.
 BOOST_AUTO_TEST_CASE(caller_that_cannot_know_of_the_stop_is_served) {
   ServeMany(2500ms);
-  BOOST_TEST(IsAccepted(0ms, request_kind::stream));
-  BOOST_TEST(IsAccepted(kNoticeDelay, request_kind::stream));
-  BOOST_TEST(!IsAccepted(kNoticeDelay + 1ms, request_kind::stream));
+  const auto kind = request_kind::stream;
+  BOOST_TEST(IsAccepted(0ms, kind, kLongLimit));
+  BOOST_TEST(IsAccepted(kNoticeDelay, kind, kLongLimit));
+  BOOST_TEST(!IsAccepted(kNoticeDelay + 1ms, kind, kLongLimit));
 }
 
-BOOST_AUTO_TEST_CASE(age_of_running_streams_counts_before_they_end) {
-  ServeMany(300ms);
-  for (int i = 0; i < 10; ++i) {
-    forwarding::OnStarted(times, now);
-  }
-  now += 5000ms;
-  BOOST_TEST(!IsAccepted(kNoticeDelay + 1ms, request_kind::stream));
+// Guards against accepting streams whose usual time exceeds the stop.
+BOOST_AUTO_TEST_CASE(streams_that_usually_outlast_the_stop_are_refused) {
+  ServeMany(6500ms);
+  BOOST_TEST(!IsAccepted(0ms, request_kind::stream, kLongLimit));
 }
 
 BOOST_AUTO_TEST_CASE(request_of_unknown_length_is_accepted_by_kind) {
-  BOOST_TEST(IsAccepted(3000ms, request_kind::stream));
-  BOOST_TEST(!IsAccepted(4000ms, request_kind::stream));
-  BOOST_TEST(IsAccepted(6000ms, request_kind::non_idempotent));
-  BOOST_TEST(!IsAccepted(6500ms, request_kind::non_idempotent));
+  const forwarding::stop_window late{kStopDuration, 3700ms, kStopDuration};
+  const auto accepts = [&](request_kind kind) {
+    return forwarding::CanFinishBeforeStop(times, options, kind, kLongLimit,
+                                           late);
+  };
+  BOOST_TEST(IsAccepted(kNoticeDelay, request_kind::stream, kLongLimit));
+  BOOST_TEST(!accepts(request_kind::stream));
+  BOOST_TEST(accepts(request_kind::non_idempotent));
+}
+
+BOOST_AUTO_TEST_CASE(few_samples_give_no_median) {
+  for (std::size_t i = 0; i + 1 < options.min_samples; ++i) {
+    forwarding::OnServed(times, options, 100ms);
+  }
+  BOOST_TEST(!forwarding::MedianTime(times, options));
+  forwarding::OnServed(times, options, 900ms);
+  BOOST_TEST((forwarding::MedianTime(times, options) == 100ms));
 }
 
-BOOST_AUTO_TEST_CASE(request_that_was_not_served_gives_no_sample) {
-  for (int i = 0; i < 100; ++i) {
-    const auto started = now;
-    forwarding::OnStarted(times, started);
-    forwarding::OnEnded(times, options, started, false, now + 1ms);
+// Guards against a process that ends its requests earlier than in the last
+// sixth of a short grace period.
+BOOST_AUTO_TEST_CASE(stop_uses_most_of_the_grace_period) {
+  BOOST_TEST((forwarding::StopDuration(8s) == 7600ms));
+  BOOST_TEST((forwarding::StopDuration(30s) == 29600ms));
+  for (const milliseconds grace : {1s, 2s, 3s, 5s}) {
+    BOOST_TEST((forwarding::StopDuration(grace) >= grace * 5 / 6));
+    BOOST_TEST((forwarding::StopDuration(grace) < grace));
   }
-  BOOST_TEST(!forwarding::RecentTimes(times, options, now));
-  BOOST_TEST(times.running.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
