--- /dev/null
+++ b/src/net/http_connection.h
@@ -0,0 +1,370 @@
+#ifndef NET_HTTP_CONNECTION_H_
+#define NET_HTTP_CONNECTION_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/http_fields.h"
+#include "net/http_server.h"
+#include "net/socket_options.h"
+
+namespace mimosadeck::net::internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+inline constexpr int kMalformed = 400;
+inline constexpr int kTooLarge = 413;
+inline constexpr int kTimeout = 408;
+inline constexpr int kHeaderTooLarge = 431;
+inline constexpr int kContinue = 100;
+/** Bytes of pipelined requests that are read while a request is in progress. */
+inline constexpr std::size_t kReadAheadBytes = 64U * 1024U;
+inline constexpr std::size_t kReadAheadStepBytes = 4096;
+inline constexpr std::size_t kDiscardBytes = 64U * 1024U;
+inline constexpr std::chrono::milliseconds kDiscardTime{2000};
+
+inline http_request Convert(http::request<http::string_body>&& in) {
+  http_request out;
+  out.method = std::string(in.method_string());
+  out.target = std::string(in.target());
+  out.fields = FieldsOf(in);
+  out.body = std::move(in.body());
+  return out;
+}
+
+/** @brief A connection, which is also the exchange of its current request. */
+class connection final : public exchange,
+                         public std::enable_shared_from_this<connection> {
+ public:
+  connection(tcp::socket socket, const server_options& settings)
+      : stream_(std::move(socket)), settings_(settings) {
+    EnableDeadPeerDetection(stream_.socket());
+  }
+
+  asio::awaitable<void> Run(http_handler handler,
+                            std::atomic<std::size_t>& active,
+                            std::atomic<bool>& stopping,
+                            std::atomic<bool>& closing) {
+    while (!closed_ && !stopping) {
+      auto request = co_await Read();
+      if (!request) {
+        break;
+      }
+      keep_alive_ = request->keep_alive() && !closing;
+      started_ = false;
+      ++active;
+      try {
+        auto converted = Convert(std::move(*request));
+        co_await handler(std::move(converted), *this);
+      } catch (const std::exception&) {
+        closed_ = true;
+      }
+      --active;
+      StopWatching();
+      if (!keep_alive_ || !started_) {
+        break;
+      }
+    }
+    Close();
+  }
+
+  /** @brief Closes the connection if it is waiting for a request. */
+  void CloseIfIdle() {
+    if (reading_) {
+      Close();
+    }
+  }
+
+  asio::awaitable<bool> Respond(http_response response) override {
+    StopWatching();
+    started_ = true;
+    http::response<http::string_body> out{
+        static_cast<http::status>(response.status), kHttpVersion};
+    for (const auto& [name, value] : response.fields) {
+      out.set(name, value);
+    }
+    out.body() = std::move(response.body);
+    out.keep_alive(keep_alive_);
+    out.prepare_payload();
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    co_await http::async_write(
+        stream_, out, asio::redirect_error(asio::use_awaitable, failure));
+    co_return CheckWritten(failure);
+  }
+
+  asio::awaitable<bool> BeginStream(int status, http_fields fields) override {
+    started_ = true;
+    http::response<http::empty_body> out{static_cast<http::status>(status),
+                                         kHttpVersion};
+    for (const auto& [name, value] : fields) {
+      out.set(name, value);
+    }
+    out.keep_alive(keep_alive_);
+    out.chunked(true);
+    http::response_serializer<http::empty_body> serializer{out};
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    co_await http::async_write_header(
+        stream_, serializer,
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return CheckWritten(failure);
+  }
+
+  asio::awaitable<bool> WriteChunk(std::string bytes) override {
+    if (closed_) {
+      co_return false;
+    }
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    co_await asio::async_write(
+        stream_, http::make_chunk(asio::buffer(bytes)),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return CheckWritten(failure);
+  }
+
+  asio::awaitable<bool> EndStream() override {
+    if (closed_) {
+      co_return false;
+    }
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    co_await asio::async_write(
+        stream_, http::make_chunk_last(),
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return CheckWritten(failure);
+  }
+
+  void Abort() override { Close(); }
+
+  void OnCallerDisconnect(std::function<void()> on_disconnect) override {
+    StopWatching();
+    watch_ = std::make_shared<asio::cancellation_signal>();
+    Watch(watch_, std::move(on_disconnect));
+  }
+
+  [[nodiscard]] bool HasStarted() const override { return started_; }
+
+ private:
+  static constexpr unsigned kHttpVersion = 11;
+
+  using parser_type = http::request_parser<http::string_body>;
+
+  /** @brief Waits for the first byte of the next request. */
+  asio::awaitable<bool> WaitForRequest() {
+    if (buffer_.size() > 0) {
+      co_return true;
+    }
+    error_code failure;
+    reading_ = true;
+    stream_.expires_after(limits_.idle_timeout);
+    const auto read = co_await stream_.async_read_some(
+        buffer_.prepare(kReadAheadStepBytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    reading_ = false;
+    buffer_.commit(read);
+    co_return !failure && !closed_;
+  }
+
+  asio::awaitable<std::optional<http::request<http::string_body>>> Read() {
+    limits_ = CurrentLimits();
+    const bool has_request = co_await WaitForRequest();
+    if (!has_request) {
+      co_return std::nullopt;
+    }
+    limits_ = CurrentLimits();
+    parser_type parser;
+    parser.body_limit(limits_.body_limit_bytes);
+    parser.header_limit(limits_.header_limit_bytes);
+    error_code failure;
+    stream_.expires_after(limits_.header_timeout);
+    co_await http::async_read_header(
+        stream_, buffer_, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && !IsFramingUnambiguous(parser.get())) {
+      failure = http::error::bad_transfer_encoding;
+    }
+    if (!failure) {
+      failure = co_await ReadRest(parser);
+    }
+    if (!failure) {
+      co_return parser.release();
+    }
+    if (failure != http::error::end_of_stream) {
+      co_await Refuse(failure);
+    }
+    co_return std::nullopt;
+  }
+
+  asio::awaitable<error_code> ReadRest(parser_type& parser) {
+    error_code failure;
+    stream_.expires_after(limits_.body_timeout);
+    if (parser.get().find(http::field::expect) != parser.get().end()) {
+      const http::response<http::empty_body> continue_response{
+          static_cast<http::status>(kContinue), kHttpVersion};
+      co_await http::async_write(
+          stream_, continue_response,
+          asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return failure;
+      }
+    }
+    co_await http::async_read(
+        stream_, buffer_, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    co_return failure;
+  }
+
+  /** @brief Returns false for ambiguous framing or host, such as both a length
+   * and chunks, with which two servers might disagree on where the request
+   * ends. */
+  static bool IsFramingUnambiguous(
+      const http::request<http::string_body>& head) {
+    const auto codings = head.equal_range(http::field::transfer_encoding);
+    const auto hosts = head.equal_range(http::field::host);
+    if (hosts.first == hosts.second || std::next(hosts.first) != hosts.second) {
+      return false;
+    }
+    if (codings.first == codings.second) {
+      return true;
+    }
+    return std::next(codings.first) == codings.second &&
+           beast::iequals(codings.first->value(), "chunked") &&
+           head.find(http::field::content_length) == head.end() &&
+           head.version() == kHttpVersion;
+  }
+
+  [[nodiscard]] connection_limits CurrentLimits() const {
+    return settings_.current_limits ? settings_.current_limits()
+                                    : settings_.limits;
+  }
+
+  asio::awaitable<void> Refuse(error_code failure) {
+    if (!settings_.refuse) {
+      co_return;
+    }
+    int status = kMalformed;
+    if (failure == http::error::body_limit) {
+      status = kTooLarge;
+    } else if (failure == http::error::header_limit) {
+      status = kHeaderTooLarge;
+    } else if (failure == beast::error::timeout) {
+      status = kTimeout;
+    } else if (failure.category() !=
+               make_error_code(http::error::bad_method).category()) {
+      co_return;
+    }
+    keep_alive_ = false;
+    auto response = settings_.refuse(status, failure.message());
+    co_await Respond(std::move(response));
+    co_await Discard();
+  }
+
+  /** @brief Reads and discards input for up to kDiscardTime. Unread bytes would
+   * reset the connection, and the caller could lose the error response. */
+  asio::awaitable<void> Discard() {
+    error_code failure;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
+    std::vector<char> bytes(kDiscardBytes);
+    stream_.expires_after(kDiscardTime);
+    while (!failure) {
+      co_await stream_.async_read_some(
+          asio::buffer(bytes),
+          asio::redirect_error(asio::use_awaitable, failure));
+    }
+  }
+
+  bool CheckWritten(error_code failure) {
+    if (failure) {
+      closed_ = true;
+      return false;
+    }
+    stream_.expires_never();
+    return true;
+  }
+
+  void Watch(const std::shared_ptr<asio::cancellation_signal>& watch,
+             std::function<void()> on_disconnect) {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(
+            watch->slot(),
+            [self = shared_from_this(), watch,
+             on_disconnect = std::move(on_disconnect)](error_code failure) {
+              if (failure || self->watch_ != watch) {
+                return;
+              }
+              if (self->ReadAhead()) {
+                on_disconnect();
+              } else if (self->buffer_.size() < kReadAheadBytes) {
+                self->Watch(watch, on_disconnect);
+              }
+            }));
+  }
+
+  /** @brief Reads bytes of pipelined requests.
+   * @return True if the caller disconnected. */
+  [[nodiscard]] bool ReadAhead() {
+    error_code failure;
+    stream_.socket().non_blocking(true, failure);
+    const auto size = stream_.socket().receive(
+        asio::buffer(buffer_.prepare(kReadAheadStepBytes)), 0, failure);
+    if (failure == asio::error::would_block) {
+      return false;
+    }
+    if (failure || size == 0) {
+      closed_ = true;
+      return true;
+    }
+    buffer_.commit(size);
+    return false;
+  }
+
+  void StopWatching() {
+    if (watch_) {
+      const auto watch = std::move(watch_);
+      watch_.reset();
+      watch->emit(asio::cancellation_type::terminal);
+    }
+  }
+
+  void Close() {
+    closed_ = true;
+    StopWatching();
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.socket().close(ignored);
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  const server_options& settings_;
+  connection_limits limits_;
+  std::shared_ptr<asio::cancellation_signal> watch_;
+  bool keep_alive_{true};
+  bool started_{false};
+  bool closed_{false};
+  bool reading_{false};
+};
+
+}  // namespace mimosadeck::net::internal
+
+#endif  // NET_HTTP_CONNECTION_H_
