Count requests that are being received in a drain, and handle none after it

Cause: a request counted from the end of reading it to the end of its handler, and nothing kept a connection from starting a handler after the last count.

Now a request counts from its first byte, and no handler starts once the drain is over. Two things that the tests showed beside it: a pipelined request that was read while the one before it was in progress was dropped although the connection had been kept open; and a response that began after the stop kept its connection open if its request was read before, so that the caller sent the next one to an entry that closes.

http_server_test before: drain over with a half-received request (remaining 0, expected 1), handler started after the drain (1, expected 0), one of two pipelined requests answered, connection open after the response. After: no error; edge_test and planned_stop_system_test as before.

Ruled out by a test that passes on both sides: an idle connection on which a request has arrived is closed (request_that_arrived_before_the_drain_is_answered).

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -50,34 +50,63 @@
   return out;
 }
 
+/** @brief State that a server shares with its connections. */
+struct server_state {
+  /** Requests that are being received or answered. */
+  std::atomic<std::size_t> active{0};
+  /** Connections close after the response in progress. */
+  std::atomic<bool> closing{false};
+  /** Connections that wait for a request close. */
+  std::atomic<bool> stopping{false};
+  /** The drain is over: no request is handled any more. */
+  std::atomic<bool> drained{false};
+};
+
+/** @brief Counts a request as active for the lifetime of this object. */
+class active_request {
+ public:
+  explicit active_request(server_state& server) : server_(server) {
+    ++server_.active;
+  }
+  ~active_request() { --server_.active; }
+  active_request(const active_request&) = delete;
+  active_request& operator=(const active_request&) = delete;
+
+ private:
+  server_state& server_;
+};
+
 /** @brief A connection, which is also the exchange of its current request. */
 class connection final : public exchange,
                          public std::enable_shared_from_this<connection> {
  public:
-  connection(tcp::socket socket, const server_options& settings)
-      : stream_(std::move(socket)), settings_(settings) {
+  connection(tcp::socket socket,
+             const server_options& settings,
+             server_state& server)
+      : stream_(std::move(socket)), settings_(settings), server_(server) {
     EnableDeadPeerDetection(stream_.socket());
   }
 
-  asio::awaitable<void> Run(http_handler handler,
-                            std::atomic<std::size_t>& active,
-                            std::atomic<bool>& stopping,
-                            std::atomic<bool>& closing) {
-    while (!closed_ && !stopping) {
-      auto request = co_await Read();
-      if (!request) {
+  asio::awaitable<void> Run(http_handler handler) {
+    while (!closed_ && (!server_.stopping || HasPipelinedRequest())) {
+      limits_ = CurrentLimits();
+      const bool has_request = co_await WaitForRequest();
+      if (!has_request) {
         break;
       }
-      keep_alive_ = request->keep_alive() && !closing;
+      const active_request active(server_);
+      auto request = co_await Receive();
+      if (!request || server_.drained) {
+        break;
+      }
+      keep_alive_ = request->keep_alive();
       started_ = false;
-      ++active;
       try {
         auto converted = Convert(std::move(*request));
         co_await handler(std::move(converted), *this);
       } catch (const std::exception&) {
         closed_ = true;
       }
-      --active;
       StopWatching();
       if (!keep_alive_ || !started_) {
         break;
@@ -102,7 +131,7 @@
       out.set(name, value);
     }
     out.body() = std::move(response.body);
-    out.keep_alive(keep_alive_);
+    out.keep_alive(KeepsOpen());
     out.prepare_payload();
     error_code failure;
     stream_.expires_after(limits_.body_timeout);
@@ -118,7 +147,7 @@
     for (const auto& [name, value] : fields) {
       out.set(name, value);
     }
-    out.keep_alive(keep_alive_);
+    out.keep_alive(KeepsOpen());
     out.chunked(true);
     http::response_serializer<http::empty_body> serializer{out};
     error_code failure;
@@ -184,12 +213,18 @@
     co_return !failure && !closed_;
   }
 
-  asio::awaitable<std::optional<http::request<http::string_body>>> Read() {
-    limits_ = CurrentLimits();
-    const bool has_request = co_await WaitForRequest();
-    if (!has_request) {
-      co_return std::nullopt;
-    }
+  /** @brief Returns true if input was read ahead, after which a response must
+   * not announce that the connection closes. */
+  [[nodiscard]] bool HasPipelinedRequest() const { return buffer_.size() > 0; }
+
+  /** @brief Decides, at the start of a response, whether the connection stays
+   * open after it. */
+  bool KeepsOpen() {
+    keep_alive_ = keep_alive_ && (!server_.closing || HasPipelinedRequest());
+    return keep_alive_;
+  }
+
+  asio::awaitable<std::optional<http::request<http::string_body>>> Receive() {
     limits_ = CurrentLimits();
     parser_type parser;
     parser.body_limit(limits_.body_limit_bytes);
@@ -357,6 +392,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   const server_options& settings_;
+  server_state& server_;
   connection_limits limits_;
   std::shared_ptr<asio::cancellation_signal> watch_;
   bool keep_alive_{true};
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -46,14 +46,14 @@
   static asio::awaitable<void> Accept(std::shared_ptr<impl> self) {
     std::size_t next = 0;
     asio::steady_timer pause(co_await asio::this_coro::executor);
-    while (!self->stopping) {
+    while (!self->state.stopping) {
       auto& context = *self->contexts[next++ % self->contexts.size()];
       error_code failure;
       tcp::socket socket(context);
       co_await self->acceptor.async_accept(
           socket, asio::redirect_error(asio::use_awaitable, failure));
       if (failure) {
-        if (self->stopping) {
+        if (self->state.stopping) {
           break;
         }
         // No file descriptors are left: wait for connections to close.
@@ -62,14 +62,13 @@
             asio::redirect_error(asio::use_awaitable, failure));
         continue;
       }
-      auto made = std::make_shared<internal::connection>(std::move(socket),
-                                                         self->settings);
+      auto made = std::make_shared<internal::connection>(
+          std::move(socket), self->settings, self->state);
       self->Register(made, context);
       asio::co_spawn(
           context,
           [self, made]() -> asio::awaitable<void> {
-            co_await made->Run(self->handler, self->active, self->stopping,
-                               self->closing);
+            co_await made->Run(self->handler);
             self->Unregister(made);
           },
           asio::detached);
@@ -91,9 +90,7 @@
   server_options settings;
   http_handler handler;
   tcp::acceptor acceptor;
-  std::atomic<std::size_t> active{0};
-  std::atomic<bool> stopping{false};
-  std::atomic<bool> closing{false};
+  internal::server_state state;
   std::mutex mutex;
   std::map<std::shared_ptr<internal::connection>, asio::io_context*> open;
 };
@@ -122,11 +119,11 @@
 }
 
 void http_server::CloseAfterResponses() {
-  impl_->closing = true;
+  impl_->state.closing = true;
 }
 
 void http_server::StopAccepting() {
-  if (impl_->stopping.exchange(true)) {
+  if (impl_->state.stopping.exchange(true)) {
     return;
   }
   asio::post(*impl_->contexts.front(), [self = impl_] {
@@ -150,12 +147,14 @@
   do {
     timer.expires_after(internal::kDrainPollInterval);
     co_await timer.async_wait(asio::use_awaitable);
-  } while (self->active > 0 && std::chrono::steady_clock::now() < deadline);
-  co_return self->active.load();
+  } while (self->state.active > 0 &&
+           std::chrono::steady_clock::now() < deadline);
+  self->state.drained = true;
+  co_return self->state.active.load();
 }
 
 std::size_t http_server::ActiveExchanges() const {
-  return impl_->active;
+  return impl_->state.active;
 }
 
 }  // namespace mimosadeck::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -103,17 +103,17 @@
   /** @brief Returns the bound address, as `IP:PORT`. */
   [[nodiscard]] std::string Address() const;
 
-  /** @brief Closes each connection after its next response. */
+  /** @brief Closes each connection after its next response, which says so. */
   void CloseAfterResponses();
 
   /** @brief Stops accepting connections and closes idle ones. */
   void StopAccepting();
 
   /**
-   * @brief Stops accepting connections and waits until every request that was
-   * read has been answered.
+   * @brief Stops accepting connections and waits until every request has been
+   * answered, including those of which a part was received.
    *
-   * No request is read after it returns, so that the process can then exit
+   * No request is handled after it returns, so that the process can then exit
    * without aborting one.
    *
    * @param timeout Longest time to wait.
@@ -122,7 +122,8 @@
   [[nodiscard]] boost::asio::awaitable<std::size_t> Drain(
       std::chrono::milliseconds timeout);
 
-  /** @brief Returns the number of requests in progress. */
+  /** @brief Returns the number of requests that are being received or
+   * answered. */
   [[nodiscard]] std::size_t ActiveExchanges() const;
 
  private:
--- a/test/net/http_server_test.cc
+++ b/test/net/http_server_test.cc
@@ -23,6 +23,9 @@
 using asio::ip::tcp;
 
 constexpr auto kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+/** Parts of a request, before which a caller may pause. */
+constexpr std::array<const char*, 3> kRequestParts{
+    "POST /x HTTP/1.1\r\nHo", "st: h\r\nContent-Length: 8\r\n\r\n", "the body"};
 
 /** A server that responds only once the test cancels the gate timer. */
 struct gated_server {
@@ -35,6 +38,7 @@
       [this](net::http_request,
              net::exchange& exchange) -> asio::awaitable<void> {
         ++started;
+        exchange.OnCallerDisconnect([] {});
         boost::system::error_code ignored;
         co_await gate.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
@@ -49,10 +53,19 @@
     return out;
   }
 
-  static void Send(tcp::socket& caller) {
-    asio::write(caller, asio::buffer(std::string(kRequest)));
+  static void Send(tcp::socket& caller, const std::string& bytes = kRequest) {
+    asio::write(caller, asio::buffer(bytes));
   }
 
+  /** Runs the server until it has handled what has arrived. */
+  void Settle() {
+    io.restart();
+    io.run_for(50ms);
+  }
+
+  /** Lets the handler respond to all requests, at once. */
+  void OpenGate() { gate.expires_at(asio::steady_timer::time_point::min()); }
+
   void BeginDrain(std::chrono::milliseconds timeout) {
     asio::co_spawn(
         io,
@@ -72,15 +85,18 @@
     return holds();
   }
 
-  /** Reads to the end of the connection. */
-  static std::string ReadAll(tcp::socket& caller) {
+  /** Reads to the end of the connection, while the server runs. */
+  std::string ReadAll(tcp::socket& caller) {
     std::string out;
-    boost::system::error_code failure;
-    while (!failure) {
+    caller.non_blocking(true);
+    const bool ended = Reaches([&] {
       std::array<char, 1024> buffer{};
+      boost::system::error_code failure;
       const auto size = caller.read_some(asio::buffer(buffer), failure);
       out.append(buffer.data(), size);
-    }
+      return failure && failure != asio::error::would_block;
+    });
+    BOOST_TEST(ended, "the connection stays open");
     return out;
   }
 };
@@ -116,7 +132,7 @@
     BOOST_REQUIRE(
         fixture.Reaches([&] { return fixture.remaining.has_value(); }));
     BOOST_TEST(*fixture.remaining == 0);
-    const auto got = ReadAll(caller);
+    const auto got = fixture.ReadAll(caller);
     BOOST_TEST((fixture.started == 0) == got.empty());
     BOOST_TEST((fixture.started == 0 || got.ends_with("answered")));
   }
@@ -143,6 +159,93 @@
   BOOST_TEST(Reaches([this] { return server.ActiveExchanges() == 0; }));
 }
 
+// Guards against a drain that does not count a request whose head or body is
+// still arriving: it was read and forwarded after the last count, and the end
+// of the process cut it off.
+BOOST_AUTO_TEST_CASE(request_being_received_at_the_drain_is_answered) {
+  for (std::size_t sent = 1; sent < kRequestParts.size(); ++sent) {
+    gated_server fixture;
+    auto caller = fixture.Connect();
+    for (std::size_t i = 0; i < sent; ++i) {
+      fixture.Send(caller, kRequestParts[i]);
+    }
+    fixture.Settle();
+    fixture.BeginDrain(10s);
+    fixture.Settle();
+    BOOST_TEST(!fixture.remaining.has_value());
+    fixture.OpenGate();
+    for (auto i = sent; i < kRequestParts.size(); ++i) {
+      fixture.Send(caller, kRequestParts[i]);
+    }
+    BOOST_REQUIRE(
+        fixture.Reaches([&] { return fixture.remaining.has_value(); }));
+    BOOST_TEST(*fixture.remaining == 0);
+    BOOST_TEST(fixture.started == 1);
+    BOOST_TEST(fixture.ReadAll(caller).ends_with("answered"));
+  }
+}
+
+// Guards against a request that is forwarded after the drain has given up on
+// it, just before the process ends.
+BOOST_AUTO_TEST_CASE(request_received_after_the_timeout_is_not_started) {
+  auto caller = Connect();
+  Send(caller, kRequestParts[0]);
+  Settle();
+  BeginDrain(30ms);
+  BOOST_REQUIRE(Reaches([this] { return remaining.has_value(); }));
+  BOOST_TEST(*remaining == 1);
+  Send(caller, kRequestParts[1]);
+  Send(caller, kRequestParts[2]);
+  Settle();
+  BOOST_TEST(started == 0);
+  BOOST_TEST(ReadAll(caller).empty());
+}
+
+// Guards against closing an idle connection on which a request has arrived.
+BOOST_AUTO_TEST_CASE(request_that_arrived_before_the_drain_is_answered) {
+  auto caller = Connect();
+  Settle();
+  OpenGate();
+  Send(caller);
+  BeginDrain(10s);
+  BOOST_REQUIRE(Reaches([this] { return remaining.has_value(); }));
+  BOOST_TEST(started == 1);
+  BOOST_TEST(ReadAll(caller).ends_with("answered"));
+}
+
+// Guards against dropping a pipelined request that was read while the one
+// before it was in progress, and whose answer kept the connection open.
+BOOST_AUTO_TEST_CASE(pipelined_request_read_before_the_drain_is_answered) {
+  auto caller = Connect();
+  Send(caller);
+  Settle();
+  Send(caller);
+  Settle();
+  BOOST_REQUIRE(started == 1);
+  server.CloseAfterResponses();
+  BeginDrain(10s);
+  Settle();
+  OpenGate();
+  BOOST_REQUIRE(Reaches([this] { return remaining.has_value(); }));
+  BOOST_TEST(started == 2);
+  const auto got = ReadAll(caller);
+  BOOST_TEST(got.find("answered") != got.rfind("answered"));
+  BOOST_TEST(got.find("Connection: close") > got.find("answered"));
+}
+
+// Guards against callers that send another request on a connection which a
+// draining server is about to close.
+BOOST_AUTO_TEST_CASE(response_after_the_stop_began_closes_its_connection) {
+  auto caller = Connect();
+  Send(caller);
+  Settle();
+  BOOST_REQUIRE(started == 1);
+  server.CloseAfterResponses();
+  OpenGate();
+  Settle();
+  BOOST_TEST(ReadAll(caller).find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
