Do not trust a refusal that names no request

What callers saw: a booking or a stream that cannot resume ran at two upstreams. A faulty upstream wrote a refusal without an id on a new connection, and ran the request that came there.

Cause: a response without an id was trusted if it was the first one on its connection, also when it stated that the request was not run. The entry then sent the request to a second upstream, while the first one ran it.

Evidence, on the old code: repeated_refusal_system_test, new_connections/refusal_that_names_no_request_is_not_trusted: check elsewhere <= (IsRepeatable(route) ? 1U : 0U) has failed [1 > 0] 15 times: for bookings and for streams that cannot resume, with 503, 429, 421 and 400, written on accept, while the request runs, and with its answer.

Upstreams echo the id in every response, so a statement without one is no statement about this request. Such an attempt is treated as one that broke off: its connection is closed, a repeatable request goes to another upstream, any other gets 502. A response without an id that states nothing of the kind is still trusted on a new connection.

Ruled out by the same test, with a refusal that names an earlier request or, on a used connection, none: it is written with the first refusal, on the idle connection, before the body of the next request, while that request runs, with its answer, after its answer, and inside a chunked answer; once, twice and three times; whole and cut; with 503, 429, 421 and 400, with a pause, leaving and `connection: close`; with an id that differs in case or by a space; on all four kinds of route. None of these was taken for the next answer.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -109,8 +109,10 @@
       answer = ReadHead();
     }
     if (IsStray(answer)) {
-      co_return attempt_failure{attempt_end::broke_off, false,
-                                "response belongs to another request",
+      const auto* reason = answer.request_id.empty()
+                               ? "response names no request"
+                               : "response belongs to another request";
+      co_return attempt_failure{attempt_end::broke_off, false, reason,
                                 std::nullopt};
     }
     constexpr int kOk = 200;
@@ -134,12 +136,17 @@
     return answer;
   }
 
-  /** Returns whether a response may belong to another request. One without an
-   * id is trusted only if no earlier request used the connection. */
+  /**
+   * Returns whether a response may belong to another request. One without an
+   * id is trusted only if no earlier request used the connection and it does
+   * not state that the request was not run: a wrong statement would let the
+   * request run twice.
+   */
   [[nodiscard]] bool IsStray(const platform::upstream_answer& answer) const {
-    return answer.request_id.empty()
-               ? !call_.IsFirstOnConnection()
-               : answer.request_id != context_->caller_request.id;
+    if (!answer.request_id.empty()) {
+      return answer.request_id != context_->caller_request.id;
+    }
+    return answer.not_run || !call_.IsFirstOnConnection();
   }
 
   asio::awaitable<attempt_result> ReceiveComplete(
