Ignore what a response to another request says about its upstream

What callers saw: an upstream that accepts work got none, and with no other upstream its callers got 503. It had written an old refusal again.

Cause: ReadHead() applied the availability signals of every response, also of one that names another request. An old pause counted again from its repetition, a 421 for another request closed the upstream for ten seconds, and an old announcement marked it as leaving for good. Limits were already taken only from responses to the entry's own request.

Evidence, on the old code: repeated_refusal_system_test, signals/repeated_refusal_does_not_change_availability: check GetsWorkAlone("/unsafe/x") has failed for each of the six forms: Retry-After: 30, Server-Leaving: 1 and 421, each with an earlier request's id and without one.

The entry closes a connection whose request it gives up, so a response to another request of its own cannot be news: it is a repetition, or belongs to no request here. An upstream that is leaving says so in its next answer as well. Signals of answers to the entry's own request count as before (edge_test). The new event stray_response tells such responses apart in the log.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -129,10 +129,14 @@
 
   platform::upstream_answer ReadHead() {
     auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
-    ApplyUpstreamSignals(state_, selection_, answer);
-    if (!IsStray(answer)) {
-      ApplyUpstreamLimit(state_, selection_, answer, sent_at_);
+    // A response to another request may be an old one written again, whose
+    // pause is over and whose 421 was for another upstream.
+    if (IsStray(answer)) {
+      LogStray(answer);
+      return answer;
     }
+    ApplyUpstreamSignals(state_, selection_, answer);
+    ApplyUpstreamLimit(state_, selection_, answer, sent_at_);
     return answer;
   }
 
@@ -149,6 +153,15 @@
     return answer.not_run || !call_.IsFirstOnConnection();
   }
 
+  void LogStray(const platform::upstream_answer& answer) const {
+    telemetry::Log(
+        telemetry::level::warning, "stray_response",
+        {{"request", context_->caller_request.id},
+         {"upstream", selection_.incarnation},
+         {"named", answer.request_id.empty() ? "none" : answer.request_id},
+         {"status", std::to_string(call_.Status())}});
+  }
+
   asio::awaitable<attempt_result> ReceiveComplete(
       platform::upstream_answer answer) {
     auto body = co_await ReadResponseBody();
--- a/test/system/repeated_refusal_system_test.cc
+++ b/test/system/repeated_refusal_system_test.cc
@@ -349,6 +349,20 @@
     Refuse();
   }
 
+  /** @brief Returns whether the raw upstream gets another request soon, if no
+   * other upstream accepts work. */
+  bool GetsWorkAlone(const std::string& target) {
+    store.Put("servers", "u2", second.Entry("draining"));
+    const auto before = raw.received.size();
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    while (raw.received.size() == before &&
+           std::chrono::steady_clock::now() < end) {
+      Call(target);
+    }
+    store.Put("servers", "u2", second.Entry("ready"));
+    return raw.received.size() > before;
+  }
+
   void RunAllMoments(const std::string& route, const repetition& form) {
     for (const auto when : kMoments) {
       BOOST_TEST_CONTEXT(Describe(route, when, form)) {
@@ -453,4 +467,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(signals, raw_entry)
+
+// Guards against an upstream that gets no work because of a refusal that it
+// gave earlier and that is written again.
+BOOST_AUTO_TEST_CASE(repeated_refusal_does_not_change_availability) {
+  const std::vector<repetition> forms{
+      {.fields = "Retry-After: 30\r\n"},
+      {.fields = "Server-Leaving: 1\r\n"},
+      {.status = "421 Misdirected Request"},
+      {.id = named::none, .fields = "Retry-After: 30\r\n"},
+      {.id = named::none, .fields = "Server-Leaving: 1\r\n"},
+      {.status = "421 Misdirected Request", .id = named::none}};
+  for (const auto& form : forms) {
+    BOOST_TEST_CONTEXT(Describe("/unsafe/", moment::running, form)) {
+      RunAfterRefusal("/unsafe/", moment::running, form);
+      BOOST_TEST(GetsWorkAlone("/unsafe/x"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
