Do not reuse a client connection with bytes after its response

What callers could see: http_client took a second response, read together with the first one, for the response to the next call on that connection. The product's own interface uses it for its platform's calls and for load reports; these responses carry no ids.

Cause: IsStale() looks at the socket only. Bytes that were read beyond the end of a response stay in the connection's buffer, which the next call parses first.

Evidence, on the old code: http_client_test, response_read_with_another_is_not_that_of_the_next_call: check Call() == "two" has failed [stray != two] check connections == 2 has failed [1 != 2]

Ruled out by the same test: a second response that arrives on the idle connection, and a late response to a call that timed out, are not taken for the next one.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -122,7 +122,8 @@
     co_return Failure(call_progress::sent, failure);
   }
   auto response = parser.release();
-  connection.reusable = response.keep_alive();
+  // Bytes after the response belong to no request of this client.
+  connection.reusable = response.keep_alive() && connection.buffer.size() == 0;
   co_return http_response{static_cast<int>(response.result_int()),
                           FieldsOf(response), std::move(response.body())};
 }
--- /dev/null
+++ b/test/net/http_client_test.cc
@@ -0,0 +1,141 @@
+#define BOOST_TEST_MODULE http_client
+#include <boost/test/included/unit_test.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/net.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace net = mimosadeck::net;
+using asio::ip::tcp;
+
+constexpr auto kTimeout = 200ms;
+
+std::string Response(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/** A server that writes the next script after each request: pairs of a pause
+ * and bytes. */
+struct scripted_server {
+  struct scripted_write {
+    std::chrono::milliseconds pause;
+    std::string bytes;
+  };
+
+  asio::io_context io{1};
+  tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+  net::http_client client;
+  std::vector<std::vector<scripted_write>> scripts;
+  std::size_t next{};
+  int connections{};
+
+  scripted_server() { asio::co_spawn(io, Accept(), asio::detached); }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      ++connections;
+      asio::co_spawn(io, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    std::string buffer;
+    asio::steady_timer timer(io);
+    boost::system::error_code failure;
+    while (next < scripts.size()) {
+      co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(buffer), "\r\n\r\n",
+          asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
+      buffer.clear();
+      const auto script = scripts[next++];
+      for (const auto& [pause, bytes] : script) {
+        timer.expires_after(pause);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await asio::async_write(
+            socket, asio::buffer(bytes),
+            asio::redirect_error(asio::use_awaitable, failure));
+      }
+    }
+  }
+
+  asio::awaitable<void> SendRequest(net::call_result& out) {
+    auto address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    net::http_request request;
+    const net::call_limits limits{kTimeout, kTimeout};
+    out = co_await client.Call(std::move(address), std::move(request), limits);
+  }
+
+  /** Returns the body of the response, or "failed". */
+  std::string Call() {
+    net::call_result out;
+    auto work = SendRequest(out);
+    asio::co_spawn(io, std::move(work),
+                   [this](std::exception_ptr) { io.stop(); });
+    io.restart();
+    io.run();
+    const auto* response = std::get_if<net::http_response>(&out);
+    return response ? response->body : "failed";
+  }
+
+  void RunFor(std::chrono::milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(kept_connections, scripted_server)
+
+BOOST_AUTO_TEST_CASE(complete_responses_share_a_connection) {
+  scripts = {{{0ms, Response("one")}}, {{0ms, Response("two")}}};
+  BOOST_TEST(Call() == "one");
+  BOOST_TEST(Call() == "two");
+  BOOST_TEST(connections == 1);
+}
+
+// Guards against a second response that was read together with the first one
+// and is taken for the response to the next call.
+BOOST_AUTO_TEST_CASE(response_read_with_another_is_not_that_of_the_next_call) {
+  scripts = {{{0ms, Response("one") + Response("stray")}},
+             {{0ms, Response("two")}}};
+  BOOST_TEST(Call() == "one");
+  BOOST_TEST(Call() == "two");
+  BOOST_TEST(connections == 2);
+}
+
+BOOST_AUTO_TEST_CASE(response_on_an_idle_connection_is_not_that_of_the_next) {
+  scripts = {{{0ms, Response("one")}, {10ms, Response("stray")}},
+             {{0ms, Response("two")}}};
+  BOOST_TEST(Call() == "one");
+  RunFor(50ms);
+  BOOST_TEST(Call() == "two");
+  BOOST_TEST(connections == 2);
+}
+
+BOOST_AUTO_TEST_CASE(late_response_is_not_that_of_the_next_call) {
+  scripts = {{{kTimeout + 100ms, Response("late")}}, {{0ms, Response("two")}}};
+  BOOST_TEST(Call() == "failed");
+  BOOST_TEST(Call() == "two");
+  RunFor(200ms);
+  BOOST_TEST(connections == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
