Test that a call without an idle time opens its own connection

Calls between entries carry no request ids; a late response to one of them must not be taken for the response to the next. They set no idle time, so their connections are not reused. Without the check of the idle time in connection_cache::Take(), the test fails: connection_is_not_reused_without_an_idle_time: check connections == 2 has failed [1 != 2]

--- a/test/net/http_call_test.cc
+++ b/test/net/http_call_test.cc
@@ -30,6 +30,7 @@
   int connections{};
   bool closes_after{};
   bool resets_after{};
+  std::chrono::milliseconds max_idle_time{5s};
 
   scripted_server() { asio::co_spawn(io, Accept(), asio::detached); }
 
@@ -66,7 +67,7 @@
     out.address =
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
     out.deadline = std::chrono::steady_clock::now() + 2s;
-    out.max_idle_time = 5s;
+    out.max_idle_time = max_idle_time;
     return out;
   }
 
@@ -207,6 +208,16 @@
   BOOST_TEST(connections == 2);
 }
 
+// Guards calls without request ids, such as those between entries, against a
+// late response to an earlier call.
+BOOST_AUTO_TEST_CASE(connection_is_not_reused_without_an_idle_time) {
+  max_idle_time = 0ms;
+  scripts = {kResponse, kResponse};
+  BOOST_TEST(IsText(SendRequest(), "ok"));
+  BOOST_TEST(IsText(SendRequest(), "ok"));
+  BOOST_TEST(connections == 2);
+}
+
 BOOST_AUTO_TEST_CASE(port_without_listener_reports_that_nothing_was_sent) {
   auto options = Options();
   acceptor.close();
