--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -125,8 +125,10 @@
       answer = ReadHead();
     }
     if (IsStray(answer)) {
-      co_return attempt_failure{attempt_end::broke_off, false,
-                                "response belongs to another request",
+      const auto* reason = answer.request_id.empty()
+                               ? "response names no request"
+                               : "response belongs to another request";
+      co_return attempt_failure{attempt_end::broke_off, false, reason,
                                 std::nullopt};
     }
     constexpr int kOk = 200;
@@ -143,19 +145,37 @@
 
   platform::upstream_answer ReadHead() {
     auto answer = platform::DecodeAnswer(call_.Status(), call_.Fields());
-    ApplyUpstreamSignals(state_, selection_, answer);
-    if (!IsStray(answer)) {
-      ApplyUpstreamLimit(state_, selection_, answer, sent_at_);
+    // A response to another request may be an old one written again, whose
+    // pause is over and whose 421 was for another upstream.
+    if (IsStray(answer)) {
+      LogStray(answer);
+      return answer;
     }
+    ApplyUpstreamSignals(state_, selection_, answer);
+    ApplyUpstreamLimit(state_, selection_, answer, sent_at_);
     return answer;
   }
 
-  /** Returns whether a response may belong to another request. One without an
-   * id is trusted only if no earlier request used the connection. */
+  /**
+   * Returns whether a response may belong to another request. One without an
+   * id is trusted only if no earlier request used the connection and it does
+   * not state that the request was not run: a wrong statement would let the
+   * request run twice.
+   */
   [[nodiscard]] bool IsStray(const platform::upstream_answer& answer) const {
-    return answer.request_id.empty()
-               ? !call_.IsFirstOnConnection()
-               : answer.request_id != context_->caller_request.id;
+    if (!answer.request_id.empty()) {
+      return answer.request_id != context_->caller_request.id;
+    }
+    return answer.not_run || !call_.IsFirstOnConnection();
+  }
+
+  void LogStray(const platform::upstream_answer& answer) const {
+    telemetry::Log(
+        telemetry::level::warning, "stray_response",
+        {{"request", context_->caller_request.id},
+         {"upstream", selection_.incarnation},
+         {"named", answer.request_id.empty() ? "none" : answer.request_id},
+         {"status", std::to_string(call_.Status())}});
   }
 
   asio::awaitable<attempt_result> ReceiveComplete(
