--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -13,27 +13,34 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 using platform_test::scripted_answer;
+using std::chrono::milliseconds;
 
 namespace internal {
 namespace {
 
-constexpr int kStopGraceSeconds = 5;
 constexpr int kBillingWindowSeconds = 2;
 /** Fraction of requests that a failing upstream does not answer properly. */
 constexpr double kFailRate = 0.5;
 /** Fraction of slow streams, so that shutdowns happen during requests. */
 constexpr double kSlowStreamFraction = 0.3;
-constexpr std::chrono::milliseconds kMaxWorkTime{250};
+constexpr milliseconds kMaxWorkTime{250};
+constexpr milliseconds kRouteTimeout{3000};
 
 json::object Route(const std::string& prefix,
                    std::string_view kind,
                    int attempts,
-                   bool resumable) {
-  return {{"name", prefix},         {"host", kHost},
-          {"prefix", prefix},       {"kind", kind},
-          {"timeout_ms", 3000},     {"goal_ms", 300},
-          {"priority", 0},          {"service", "pool"},
-          {"public", false},        {"max_attempts", attempts},
+                   bool resumable,
+                   milliseconds timeout = kRouteTimeout) {
+  return {{"name", prefix},
+          {"host", kHost},
+          {"prefix", prefix},
+          {"kind", kind},
+          {"timeout_ms", timeout.count()},
+          {"goal_ms", 300},
+          {"priority", 0},
+          {"service", "pool"},
+          {"public", false},
+          {"max_attempts", attempts},
           {"can_resume", resumable}};
 }
 
@@ -79,20 +86,27 @@
 
 void deployment::WriteManifest() {
   ++version_;
-  json::array routes{internal::Route("/safe/", "safe", 2, false),
-                     internal::Route("/unsafe/", "unsafe", 1, false),
-                     internal::Route("/resume/", "stream", 2, true),
-                     internal::Route("/once/", "stream", 1, false)};
+  json::array routes{
+      internal::Route("/safe/", "safe", 2, false),
+      internal::Route("/unsafe/", "unsafe", 1, false),
+      internal::Route("/resume/", "stream", 2, true, options_.stream_timeout),
+      internal::Route("/brief/", "stream", 1, false),
+      internal::Route("/once/", "stream", 1, false, options_.stream_timeout)};
   json::array keys;
   const auto oldest = version_ - std::min(version_ - 1, kManifestOverlap);
   for (auto version = oldest; version <= version_; ++version) {
-    routes.push_back(internal::Route(RotatingRoute(version), "safe", 2, false));
+    const auto prefix = RotatingRoute(version);
+    routes.push_back(options_.rotating_streams
+                         ? internal::Route(prefix, "stream", 1, false,
+                                           options_.stream_timeout)
+                         : internal::Route(prefix, "safe", 2, false));
     keys.emplace_back(RotatingKey(version));
   }
   const json::object manifest{
       {"version", version_},
       {"routes", std::move(routes)},
-      {"services", {{{"name", "pool"}, {"max_conns", 200}}}},
+      {"services",
+       {{{"name", "pool"}, {"max_conns", options_.max_connections}}}},
       {"tenants",
        {internal::Account(kPermanentAccount, {kPermanentKey}),
         internal::Account(kRotatingAccount, std::move(keys))}}};
@@ -171,10 +185,11 @@
   added.name = "entry-" + std::to_string(number);
   added.data_centre = internal::DataCentreOf(number);
   // Entries are identified by IP, so each has its own loopback address.
-  added.ip = "127.0.9." + std::to_string(number + 1);
+  added.ip = options_.network + std::to_string(number + 1);
   const auto prefix = options_.directory + '/' + added.name;
   added.settings_file = prefix + ".json";
   added.clock_file = prefix + ".clock";
+  added.stop_grace = options_.stop_grace;
   added.listeners.fill(added.ip + ":0");
   added.store_link = std::make_unique<link_proxy>(io_, store.Address());
   added.caller_link = std::make_unique<link_proxy>(io_, added.ip + ":1");
@@ -193,7 +208,7 @@
         {"directory", target.listeners[3]}}},
       {"port_range", {0, 0}},
       {"bounds",
-       {{"grace_s", internal::kStopGraceSeconds},
+       {{"grace_s", target.stop_grace.count()},
         {"lease_ms", 2000},
         {"report_window_s", internal::kBillingWindowSeconds}}},
       {"provider", {{"address", target.store_link->Address()}}},
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -56,6 +56,13 @@
   std::string daemon;
   /** Directory for settings and logs. */
   std::string directory;
+  /** First three numbers of the entries' loopback addresses. */
+  std::string network{"127.0.9."};
+  std::chrono::seconds stop_grace{5};
+  std::chrono::milliseconds stream_timeout{3000};
+  int max_connections{200};
+  /** The routes that manifests add and withdraw carry single streams. */
+  bool rotating_streams{};
 };
 
 /** @brief A daemon, its links and its current process. */
@@ -69,6 +76,7 @@
   std::unique_ptr<link_proxy> caller_link;
   std::unique_ptr<system_test::process> process;
   int starts{};
+  std::chrono::seconds stop_grace{};
   /** Callers, ready, control and directory; ports persist across restarts. */
   std::array<std::string, 4> listeners{"", "", "", ""};
   /** A fault is stopping or restarting the entry. */
@@ -106,6 +114,9 @@
    * drops the oldest ones. */
   void WriteManifest();
 
+  /** @brief Writes the settings file of an entry. */
+  void WriteSettings(const entry& target) const;
+
   void StartProcess(entry& target);
 
   /** @brief Registers an upstream after a crash, or under a new id. */
@@ -130,7 +141,6 @@
   [[nodiscard]] platform_test::scripted_answer ChooseAnswer(
       const upstream& source,
       const net::http_request& request);
-  void WriteSettings(const entry& target) const;
 
   boost::asio::io_context& io_;
   deployment_options options_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -9,6 +9,7 @@
 
 #include "soak/callers.h"
 #include "soak/faults.h"
+#include "soak/planned_stops.h"
 
 namespace mimosadeck::soak {
 namespace {
@@ -30,6 +31,7 @@
   std::uint64_t seed{};
   std::chrono::seconds length{};
   std::size_t callers{};
+  bool planned_stops{};
   judge_options checks;
   deployment_options system;
 };
@@ -202,8 +204,15 @@
       "DIRECTORY", line);
   const TCLAP::SwitchArg untimed(
       "", "untimed", "Check no time bounds, for slow machines", line);
+  const TCLAP::SwitchArg planned_stops(
+      "", "planned-stops", "Only stop daemons as planned, under long streams",
+      line);
+  const TCLAP::ValueArg<int> grace("", "grace",
+                                   "Grace period of planned stops, in seconds",
+                                   false, 0, "SECONDS", line);
   line.parse(count, arguments);
   run_options out;
+  out.planned_stops = planned_stops.getValue();
   out.seed = seed.getValue();
   out.length = std::chrono::duration_cast<std::chrono::seconds>(
       std::chrono::duration<double, std::ratio<60>>(minutes.getValue()));
@@ -212,6 +221,9 @@
   out.system.entries = processes.getValue();
   out.system.daemon = daemon.getValue();
   out.system.directory = directory.getValue() + '/' + std::to_string(out.seed);
+  if (grace.getValue() > 0) {
+    out.system.stop_grace = std::chrono::seconds(grace.getValue());
+  }
   return out;
 }
 
@@ -222,6 +234,11 @@
   try {
     const auto options = mimosadeck::soak::ReadCommandLine(count, arguments);
     std::cout << "seed: " << options.seed << std::endl;
+    if (options.planned_stops) {
+      return mimosadeck::soak::RunPlannedStops(
+          {options.seed, options.length, options.callers, options.checks.timed,
+           options.system});
+    }
     mimosadeck::soak::soak_run run(options);
     return run.Run();
   } catch (const std::exception& failure) {
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -20,7 +20,6 @@
 constexpr int kBrokenEvent = 4;
 /** Number of bytes sent of that event. */
 constexpr std::size_t kBrokenEventBytes = 7;
-constexpr int kSlots = 4;
 constexpr std::size_t kEndlessChunkBytes = 64U << 10U;
 /** Ends an endless event if the caller never closes the connection. */
 constexpr std::size_t kMaxEndlessBytes = 64U << 20U;
@@ -88,7 +87,7 @@
                    {"address", advertised.empty() ? Address() : advertised},
                    {"zone", data_centre},
                    {"version", "v1"},
-                   {"slots", kSlots},
+                   {"slots", slots},
                    {"state", state},
                    {"cold_left_ms", 0},
                    {"seq", 1},
@@ -131,7 +130,8 @@
     co_return;
   }
   upstream_run run{std::move(request),
-                   id_ + '/' + std::to_string(++runs_begun_), answer};
+                   id_ + '/' + std::to_string(++runs_begun_), answer,
+                   slow_pause};
   fields["x-server-stamp"] = run.stamp;
   runs.push_back(run);
   if (on_run) {
@@ -152,6 +152,7 @@
   if (work_time.count() > 0) {
     co_await Wait(work_time);
   }
+  ReportEnd(run);
   net::http_response response;
   response.fields = std::move(fields);
   switch (answer) {
@@ -171,6 +172,18 @@
   co_await exchange.Respond(std::move(response));
 }
 
+void upstream_stand_in::ReportEnd(const upstream_run& run) const {
+  if (on_end) {
+    on_end(run);
+  }
+}
+
+std::chrono::milliseconds upstream_stand_in::SlowPause(
+    const upstream_run& run) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(run.pause *
+                                                               slowdown);
+}
+
 asio::awaitable<void> upstream_stand_in::WriteByteByByte(
     std::shared_ptr<bool> caller_gone,
     net::exchange& exchange) {
@@ -197,8 +210,10 @@
                                                 net::http_fields fields,
                                                 net::exchange& exchange) {
   const auto caller_gone = std::make_shared<bool>(false);
-  exchange.OnCallerDisconnect(
-      [this, caller_gone] { caller_left = *caller_gone = true; });
+  exchange.OnCallerDisconnect([this, caller_gone, run] {
+    caller_left = *caller_gone = true;
+    ReportEnd(run);
+  });
   const std::string request_id(
       net::FieldOf(run.request.fields, "x-request-id"));
   fields["content-type"] = "text/event-stream";
@@ -213,8 +228,7 @@
       run.answer == scripted_answer::broken_stream && first == 1;
   const bool stalls =
       run.answer == scripted_answer::stalled_stream && first == 1;
-  const auto pause =
-      run.answer == scripted_answer::slow_stream ? slow_pause : kEventPause;
+  const bool is_slow = run.answer == scripted_answer::slow_stream;
   for (int i = first; i <= kStreamEvents && !*caller_gone; ++i) {
     auto event = StreamEvent(request_id, i);
     if (breaks && i == kBrokenEvent) {
@@ -228,8 +242,12 @@
       co_return;
     }
     co_await exchange.WriteChunk(std::move(event));
+    const auto pause = is_slow ? SlowPause(run) : kEventPause;
     co_await Wait(pause);
   }
+  if (!*caller_gone) {
+    ReportEnd(run);
+  }
   co_await exchange.EndStream();
 }
 
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -52,6 +52,8 @@
   /** Signature that the upstream adds to its response. */
   std::string stamp;
   scripted_answer answer{};
+  /** Pause after each event of a slow stream. */
+  std::chrono::milliseconds pause{};
 };
 
 /** @brief Number of events in a whole stream. */
@@ -97,10 +99,16 @@
   std::function<scripted_answer(const net::http_request&)> choose;
   /** Called when a request begins to run. */
   std::function<void(const upstream_run&)> on_run;
+  /** Called when a run ends: completed, or left by the caller of a stream. */
+  std::function<void(const upstream_run&)> on_end;
   /** Time before a response that is not a stream. */
   std::chrono::milliseconds work_time{0};
   /** Pause between the events of a slow stream. */
   std::chrono::milliseconds slow_pause{150};
+  /** Factor on the pauses of slow streams, also of those that run. */
+  double slowdown{1};
+  /** Number of requests that the registration says it runs at once. */
+  int slots{4};
   /** Responses announce that the upstream is shutting down. */
   bool leaving{};
   /** Limit that responses state, in requests per second; empty for none. */
@@ -136,6 +144,9 @@
                                       net::exchange& exchange);
 
   void Listen();
+  void ReportEnd(const upstream_run& run) const;
+  [[nodiscard]] std::chrono::milliseconds SlowPause(
+      const upstream_run& run) const;
 
   boost::asio::io_context& io_;
   std::string id_;
