--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -96,6 +96,8 @@
   std::unique_ptr<link_proxy> link;
   int generation{};
   bool failing{};
+  /** Its link resets what it carries. */
+  bool breaks_off{};
   bool busy{};
 };
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -32,6 +32,7 @@
   std::chrono::seconds length{};
   std::size_t callers{};
   bool planned_stops{};
+  bool long_pauses{};
   judge_options checks;
   deployment_options system;
 };
@@ -207,12 +208,17 @@
   const TCLAP::SwitchArg planned_stops(
       "", "planned-stops", "Only stop daemons as planned, under long streams",
       line);
-  const TCLAP::ValueArg<int> grace("", "grace",
-                                   "Grace period of planned stops, in seconds",
-                                   false, 0, "SECONDS", line);
+  const TCLAP::SwitchArg long_pauses(
+      "", "long-pauses",
+      "With --planned-stops: resumable streams may be silent for seconds",
+      line);
+  const TCLAP::ValueArg<int> grace(
+      "", "grace", "Grace period in seconds; 8 for planned stops", false, 5,
+      "SECONDS", line);
   line.parse(count, arguments);
   run_options out;
   out.planned_stops = planned_stops.getValue();
+  out.long_pauses = long_pauses.getValue();
   out.seed = seed.getValue();
   out.length = std::chrono::duration_cast<std::chrono::seconds>(
       std::chrono::duration<double, std::ratio<60>>(minutes.getValue()));
@@ -221,9 +227,8 @@
   out.system.entries = processes.getValue();
   out.system.daemon = daemon.getValue();
   out.system.directory = directory.getValue() + '/' + std::to_string(out.seed);
-  if (grace.getValue() > 0) {
-    out.system.stop_grace = std::chrono::seconds(grace.getValue());
-  }
+  out.system.stop_grace = std::chrono::seconds(
+      grace.isSet() || !out.planned_stops ? grace.getValue() : 8);
   return out;
 }
 
@@ -237,7 +242,7 @@
     if (options.planned_stops) {
       return mimosadeck::soak::RunPlannedStops(
           {options.seed, options.length, options.callers, options.checks.timed,
-           options.system});
+           options.long_pauses, options.system});
     }
     mimosadeck::soak::soak_run run(options);
     return run.Run();
--- a/soak/planned_stops.cc
+++ b/soak/planned_stops.cc
@@ -77,6 +77,7 @@
         system_(io_, options.system, judge_, traffic_random_),
         context_{system_, judge_, traffic_random_, {}} {
     rule_.timed = options.timed;
+    context_.long_pauses = options.long_pauses;
     for (auto& item : system_.upstreams) {
       item->server->slots = kUpstreamSlots;
       system_.store.Put("servers", item->id, item->server->Entry("ready"));
@@ -272,6 +273,7 @@
         }
       }
     }
+    node.breaks_off = true;
     node.link->SetFault(link_fault::reset);
   }
 
@@ -303,6 +305,7 @@
     co_await Wait(milliseconds(300));
     system_.Reregister(node, true);
     node.link->SetFault(link_fault::none);
+    node.breaks_off = false;
     node.busy = false;
   }
 
@@ -344,7 +347,11 @@
       std::cout << "BROKEN " << soak::NameOf(broken.broken) << ' '
                 << broken.request << ": " << broken.detail << '\n';
     }
-    const auto cut = CountOf(stop_outcome::cut, rule_, context_.record);
+    const auto outcomes = CountOutcomes(rule_, context_.record);
+    std::size_t cut = 0;
+    for (const auto& [outcome, count] : outcomes) {
+      cut += IsCounted(outcome) ? count : 0;
+    }
     std::cout << "held up: " << stalls_
               << "\nbroken promises: " << judge_.Violations().size()
               << "\ncounted cuts: " << cut << "\nseed: " << options_.seed
@@ -352,9 +359,7 @@
     if (cut > 0 || !judge_.Violations().empty()) {
       return 1;
     }
-    const bool judged =
-        CountOf(stop_outcome::served, rule_, context_.record) > 0;
-    return judged ? 0 : 2;
+    return outcomes.contains(stop_outcome::served) ? 0 : 2;
   }
 
   planned_stop_options options_;
--- a/soak/planned_stops.h
+++ b/soak/planned_stops.h
@@ -16,6 +16,8 @@
   /** Off on slow machines: then only what speed cannot bring about is judged.
    */
   bool timed{true};
+  /** Resumable streams pause for longer than entries wait for them. */
+  bool long_pauses{};
   deployment_options system;
 };
 
--- a/soak/stop_callers.cc
+++ b/soak/stop_callers.cc
@@ -32,6 +32,8 @@
 constexpr milliseconds kLongLimit{20000};
 constexpr milliseconds kImpatientLimit{12000};
 constexpr double kImpatientFraction = 0.3;
+/** Keeps the pauses between events under two seconds at a slowed upstream. */
+constexpr milliseconds kMaxResumable{3500};
 constexpr milliseconds kMaxBriefStream{600};
 constexpr milliseconds kMaxWork{400};
 constexpr std::size_t kMaxAnswerBytes = 1U << 20U;
@@ -77,6 +79,7 @@
     length = random.Between(milliseconds(50), kMaxBriefStream);
   } else if (part >= 66) {
     prefix = "/resume/";
+    length = context.long_pauses ? length : std::min(length, kMaxResumable);
     out.sent.kind = request_kind::resumable_stream;
   } else if (part >= 60) {
     out.sent.first_manifest = context.system.ManifestVersion();
@@ -309,12 +312,13 @@
       const std::string id(net::FieldOf(run.request.fields, "x-request-id"));
       const auto found = context.record.requests.find(id);
       if (found != context.record.requests.end()) {
-        found->second.runs.push_back(
-            {item.id, run.stamp, SuspendAwareNow(), std::nullopt, false});
+        found->second.runs.push_back({item.id, run.stamp, SuspendAwareNow(),
+                                      std::nullopt, false, item.breaks_off});
       }
       check_run(run);
     };
-    server.on_end = [&context](const platform_test::upstream_run& run) {
+    server.on_end = [&context](const platform_test::upstream_run& run,
+                               bool is_finished) {
       const std::string id(net::FieldOf(run.request.fields, "x-request-id"));
       const auto found = context.record.requests.find(id);
       if (found == context.record.requests.end()) {
@@ -323,6 +327,7 @@
       for (auto& work : found->second.runs) {
         if (work.stamp == run.stamp && !work.ended) {
           work.ended = SuspendAwareNow();
+          work.is_finished = is_finished;
         }
       }
     };
--- a/soak/stop_callers.h
+++ b/soak/stop_callers.h
@@ -17,6 +17,8 @@
   judge& checks;
   random_source& random;
   stop_record record;
+  /** Resumable streams may pause for longer than entries wait for them. */
+  bool long_pauses{};
   std::uint64_t last_request{};
   std::size_t running{};
   bool stopping{};
--- a/soak/stop_judge.h
+++ b/soak/stop_judge.h
@@ -44,6 +44,8 @@
   std::string stamp;
   mono_time began;
   std::optional<mono_time> ended;
+  /** The upstream sent its whole answer. */
+  bool is_finished{};
   /** The upstream ended the connection before its answer was complete. */
   bool broke_off{};
 };
@@ -86,6 +88,8 @@
   limit_reached,
   /** At work in the last sixth, and sent before callers had to know. */
   outlasted_stop,
+  /** Cut while the process ran on, so not by the end of the stop. */
+  cut_early,
   /** Read, passed on or held, and cut. */
   cut,
 };
@@ -103,6 +107,9 @@
 [[nodiscard]] bool WorkedInLastSixth(const stop_request& request,
                                      const planned_stop& stop);
 
+/** @brief Returns whether an outcome breaks the rule on planned stops. */
+[[nodiscard]] bool IsCounted(stop_outcome outcome);
+
 /** @brief Judges a request of a process that was told to stop. */
 [[nodiscard]] stop_outcome Judge(const stop_rule& rule,
                                  const stop_request& request,
@@ -123,10 +130,10 @@
                  const stop_rule& rule,
                  const stop_record& record);
 
-/** @brief Number of requests with an outcome. */
-[[nodiscard]] std::size_t CountOf(stop_outcome outcome,
-                                  const stop_rule& rule,
-                                  const stop_record& record);
+/** @brief Number of requests with each outcome. */
+[[nodiscard]] std::map<stop_outcome, std::size_t> CountOutcomes(
+    const stop_rule& rule,
+    const stop_record& record);
 
 }  // namespace mimosadeck::soak
 
