--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -77,32 +77,36 @@
   return out;
 }
 
+}  // namespace
+}  // namespace internal
+
 asio::awaitable<response> Exchange(net::connection_cache& cache,
                                    net::http_request message,
-                                   std::string address,
-                                   std::optional<mono_time> disconnect_at) {
+                                   exchange_options options) {
   net::http_call call(cache, co_await asio::this_coro::executor);
   response out;
   out.request = net::FieldOf(message.fields, "x-request-id");
-  net::call_options options;
-  options.server = options.address = std::move(address);
-  options.max_idle_time = kMaxIdle;
-  const auto start = std::chrono::steady_clock::now();
-  options.deadline = start + kCallerTimeout;
-  const auto failed =
-      co_await call.Send(std::move(message), std::move(options));
-  const auto timed_out = [start] {
-    return std::chrono::steady_clock::now() >= start + kCallerTimeout;
+  const auto end = std::chrono::steady_clock::now() + options.timeout;
+  net::call_options call_options;
+  call_options.server = call_options.address = std::move(options.address);
+  call_options.max_idle_time = internal::kMaxIdle;
+  call_options.deadline = end;
+  const auto fail = [&out, end](const net::call_failure& failure) {
+    out.failure = failure.message;
+    out.caller_left = std::chrono::steady_clock::now() >= end;
   };
+  const auto failed =
+      co_await call.Send(std::move(message), std::move(call_options));
   if (failed) {
-    out.caller_left = timed_out();
+    fail(*failed);
     out.at = SuspendAwareNow();
     co_return out;
   }
   out.status = call.Status();
   out.stamp = net::FieldOf(call.Fields(), "x-server-stamp");
-  while (out.body.size() < kMaxAnswerBytes) {
-    if (disconnect_at && SuspendAwareNow() >= *disconnect_at) {
+  out.closes = net::FieldOf(call.Fields(), "connection") == "close";
+  while (out.body.size() < internal::kMaxAnswerBytes) {
+    if (options.disconnect_at && SuspendAwareNow() >= *options.disconnect_at) {
       out.caller_left = true;
       call.Close();
       break;
@@ -110,7 +114,7 @@
     auto piece = co_await call.ReadPiece();
     const auto* bytes = std::get_if<std::string>(&piece);
     if (!bytes) {
-      out.caller_left = timed_out();
+      fail(std::get<net::call_failure>(piece));
       break;
     }
     if (bytes->empty()) {
@@ -123,40 +127,37 @@
   co_return out;
 }
 
-/** @brief Picks an entry from one entry's directory; null if that fails. */
-asio::awaitable<entry*> ResolveEntry(caller_context& context) {
-  auto& system = context.system;
-  const auto& directory_entry =
-      *system.entries[context.random.Below(system.entries.size())];
+asio::awaitable<std::vector<entry*>> AskDirectory(deployment& system,
+                                                  random_source& random) {
+  const auto& asked = *system.entries[random.Below(system.entries.size())];
   net::connection_cache cache(0);
   net::http_call call(cache, co_await asio::this_coro::executor);
   net::http_request message;
   message.target = "/v1/resolve?name=" + std::string(kHost) + "&zone=a";
   net::call_options options;
-  options.server = options.address = directory_entry.listeners[3];
-  options.deadline = std::chrono::steady_clock::now() + kDirectoryTimeout;
+  options.server = options.address = asked.listeners[3];
+  options.deadline =
+      std::chrono::steady_clock::now() + internal::kDirectoryTimeout;
+  std::vector<entry*> out;
   const auto failed =
       co_await call.Send(std::move(message), std::move(options));
   if (failed || call.Status() != 200) {
-    co_return nullptr;
+    co_return out;
   }
-  auto body = co_await call.ReadBody(kMaxAnswerBytes);
+  auto body = co_await call.ReadBody(internal::kMaxAnswerBytes);
   const auto* text = std::get_if<std::string>(&body);
   if (!text) {
-    co_return nullptr;
+    co_return out;
   }
   const auto answer = json::parse(*text).as_object();
-  const auto& addresses = answer.at("addrs").as_array();
-  if (addresses.empty()) {
-    co_return nullptr;
+  for (const auto& address : answer.at("addrs").as_array()) {
+    if (auto* found = system.FindEntry(json::value_to<std::string>(address))) {
+      out.push_back(found);
+    }
   }
-  const auto& chosen = addresses[context.random.Below(addresses.size())];
-  co_return system.FindEntry(json::value_to<std::string>(chosen));
+  co_return out;
 }
 
-}  // namespace
-}  // namespace internal
-
 asio::awaitable<void> RunCaller(caller_context& context) {
   ++context.running;
   net::connection_cache cache(1);
@@ -165,7 +166,9 @@
     co_await Wait(context.random.Between(std::chrono::milliseconds(5),
                                          internal::kMaxPause));
     if (!target) {
-      target = co_await internal::ResolveEntry(context);
+      const auto listed = co_await AskDirectory(context.system, context.random);
+      target = listed.empty() ? nullptr
+                              : listed[context.random.Below(listed.size())];
       continue;
     }
     auto planned = internal::PlanRequest(context, *target);
@@ -177,11 +180,12 @@
                                              internal::kMaxReadTime);
     }
     planned.sent.at = SuspendAwareNow();
-    auto address = target->caller_link->Address();
+    exchange_options options{target->caller_link->Address(),
+                             internal::kCallerTimeout, disconnect_at};
     context.checks.OnSent(std::move(planned.sent));
     auto message = std::move(planned.message);
-    const auto answer = co_await internal::Exchange(
-        cache, std::move(message), std::move(address), disconnect_at);
+    const auto answer =
+        co_await Exchange(cache, std::move(message), std::move(options));
     context.checks.OnAnswer(answer);
     if (answer.status == 0 || answer.status == 503 || !answer.is_complete) {
       target = nullptr;
@@ -206,9 +210,10 @@
   sent.process = target.ProcessName();
   sent.at = SuspendAwareNow();
   context.checks.OnSent(std::move(sent));
-  auto address = target.caller_link->Address();
-  const auto answer = co_await internal::Exchange(
-      cache, std::move(message), std::move(address), std::nullopt);
+  exchange_options options{target.caller_link->Address(),
+                           internal::kCallerTimeout, std::nullopt};
+  const auto answer =
+      co_await Exchange(cache, std::move(message), std::move(options));
   context.checks.OnAnswer(answer);
   co_return answer.status == 200 && answer.is_complete;
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "net/http_call.h"
 #include "soak/deployment.h"
 
 namespace mimosadeck::soak {
@@ -17,6 +18,24 @@
   bool stopping{};
 };
 
+/** @brief Where a request goes, and when its caller gives up. */
+struct exchange_options {
+  std::string address;
+  std::chrono::milliseconds timeout{};
+  std::optional<mono_time> disconnect_at;
+};
+
+/** @brief Sends a request and reads its answer. */
+[[nodiscard]] boost::asio::awaitable<response> Exchange(
+    net::connection_cache& cache,
+    net::http_request message,
+    exchange_options options);
+
+/** @brief Asks a random entry's directory; empty if that fails. */
+[[nodiscard]] boost::asio::awaitable<std::vector<entry*>> AskDirectory(
+    deployment& system,
+    random_source& random);
+
 /**
  * @brief Sends one request after the other until `stopping` is set.
  *
--- a/soak/deployment.cc
+++ b/soak/deployment.cc
@@ -131,6 +131,9 @@
     OnRun(item, run);
     item.server->runs.clear();
   };
+  item.server->on_end = [this, &item](const auto& run, bool is_finished) {
+    OnEnd(item, run, is_finished);
+  };
   store.Put("servers", item.id, item.server->Entry("ready"));
 }
 
@@ -163,8 +166,9 @@
              : scripted_answer::stream;
 }
 
-void deployment::OnRun(const upstream& source,
+void deployment::OnRun(upstream& source,
                        const platform_test::upstream_run& run) {
+  ++source.running;
   observed_run seen;
   seen.request = net::FieldOf(run.request.fields, "x-request-id");
   seen.upstream = source.id;
@@ -180,6 +184,16 @@
   judge_.OnRun(seen);
 }
 
+void deployment::OnEnd(upstream& source,
+                       const platform_test::upstream_run& run,
+                       bool is_finished) {
+  --source.running;
+  const bool is_reset = source.link->Fault() == link_fault::reset;
+  judge_.OnRunEnded(
+      std::string(net::FieldOf(run.request.fields, "x-request-id")), run.stamp,
+      is_finished, !is_finished && is_reset);
+}
+
 void deployment::AddEntry(std::size_t number) {
   auto& added = *entries.emplace_back(std::make_unique<entry>());
   added.name = "entry-" + std::to_string(number);
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -96,8 +96,8 @@
   std::unique_ptr<link_proxy> link;
   int generation{};
   bool failing{};
-  /** Its link resets what it carries. */
-  bool breaks_off{};
+  /** Requests that run. */
+  int running{};
   bool busy{};
 };
 
@@ -139,7 +139,10 @@
  private:
   void AddEntry(std::size_t number);
   void AddUpstream(std::size_t number);
-  void OnRun(const upstream& source, const platform_test::upstream_run& run);
+  void OnRun(upstream& source, const platform_test::upstream_run& run);
+  void OnEnd(upstream& source,
+             const platform_test::upstream_run& run,
+             bool is_finished);
   [[nodiscard]] platform_test::scripted_answer ChooseAnswer(
       const upstream& source,
       const net::http_request& request);
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -13,12 +13,6 @@
 constexpr int kNotFound = 404;
 constexpr int kFirstErrorStatus = 400;
 
-struct record {
-  sent_request sent;
-  std::vector<observed_run> runs;
-  std::optional<response> answer;
-};
-
 struct fault_interval {
   std::string scope;
   bool planned{};
@@ -167,7 +161,7 @@
     }
   }
 
-  void CheckSuccess(const internal::record& found, const response& answer) {
+  void CheckSuccess(const judged_request& found, const response& answer) {
     const auto by_stamp = [&answer](const auto& run) {
       return run.stamp == answer.stamp;
     };
@@ -195,7 +189,7 @@
     }
   }
 
-  void CheckFailure(const internal::record& found, const response& answer) {
+  void CheckFailure(const judged_request& found, const response& answer) {
     if (internal::IsNotRun(answer.status) && !found.runs.empty()) {
       Fail(promise::truthful_refusal, answer.request,
            "answered " + std::to_string(answer.status) + ", ran at " +
@@ -234,7 +228,7 @@
     }
   }
 
-  void CheckInterrupted(const internal::record& found, const response& answer) {
+  void CheckInterrupted(const judged_request& found, const response& answer) {
     const bool excused =
         std::any_of(found.runs.begin(), found.runs.end(), [&](const auto& run) {
           return run.aborts ||
@@ -250,7 +244,7 @@
   }
 
   judge_options options;
-  std::map<std::string, internal::record> records;
+  std::map<std::string, judged_request> records;
   std::map<std::uint64_t, mono_time> manifests;
   std::map<std::string, mono_time> leaving;
   std::map<std::string, std::vector<internal::manifest_use>> uses;
@@ -294,6 +288,27 @@
   known.runs.push_back(run);
 }
 
+void judge::OnRunEnded(const std::string& request,
+                       const std::string& stamp,
+                       bool is_finished,
+                       bool broke_off) {
+  const auto found = impl_->records.find(request);
+  if (found == impl_->records.end()) {
+    return;
+  }
+  for (auto& run : found->second.runs) {
+    if (run.stamp == stamp && !run.ended) {
+      run.ended = SuspendAwareNow();
+      run.is_finished = is_finished;
+      run.aborts = run.aborts || broke_off;
+    }
+  }
+}
+
+const std::map<std::string, judged_request>& judge::Requests() const {
+  return impl_->records;
+}
+
 void judge::OnAnswer(const response& answer) {
   const auto found = impl_->records.find(answer.request);
   if (found == impl_->records.end()) {
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -84,6 +84,11 @@
   /** First and last manifest version that allow the request. */
   std::uint64_t first_manifest{};
   std::uint64_t last_manifest{std::numeric_limits<std::uint64_t>::max()};
+  /** Route, and the lower one of its timeout and the caller's time limit. */
+  std::string route;
+  std::chrono::milliseconds limit{};
+  /** Sent since another request was refused or not read. */
+  bool is_repeat{};
 };
 
 /** @brief The start of a request at an upstream. */
@@ -97,6 +102,9 @@
   bool aborts{};
   int status{200};
   mono_time at;
+  std::optional<mono_time> ended;
+  /** The upstream sent its whole answer. */
+  bool is_finished{};
 };
 
 /** @brief An answer as received by a caller. */
@@ -111,6 +119,17 @@
   /** The caller closed the connection or timed out. */
   bool caller_left{};
   mono_time at;
+  /** Why it is not complete. */
+  std::string failure;
+  /** The entry said that it closes the connection. */
+  bool closes{};
+};
+
+/** @brief A request, its runs and its answer. */
+struct judged_request {
+  sent_request sent;
+  std::vector<observed_run> runs;
+  std::optional<response> answer;
 };
 
 /** @brief A usage report as received by the platform. */
@@ -151,6 +170,11 @@
 
   void OnSent(sent_request request);
   void OnRun(const observed_run& run);
+  /** @param broke_off The upstream or its link closed the connection. */
+  void OnRunEnded(const std::string& request,
+                  const std::string& stamp,
+                  bool is_finished,
+                  bool broke_off);
   void OnAnswer(const response& answer);
   void OnManifest(std::uint64_t version, mono_time at);
   void OnLeaving(const std::string& upstream, mono_time at);
@@ -166,6 +190,7 @@
 
   [[nodiscard]] const std::vector<violation>& Violations() const;
   [[nodiscard]] judged_counts Counts() const;
+  [[nodiscard]] const std::map<std::string, judged_request>& Requests() const;
 
  private:
   struct impl;
--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -203,4 +203,8 @@
   }
 }
 
+link_fault link_proxy::Fault() const {
+  return impl_->fault;
+}
+
 }  // namespace mimosadeck::soak
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -44,6 +44,8 @@
 
   void SetFault(link_fault fault);
 
+  [[nodiscard]] link_fault Fault() const;
+
  private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/soak/planned_stops.cc
+++ b/soak/planned_stops.cc
@@ -7,7 +7,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "soak/faults.h"
 #include "soak/stop_callers.h"
+#include "soak/stop_judge.h"
 
 namespace mimosadeck::soak {
 namespace internal {
@@ -23,9 +25,8 @@
 constexpr std::size_t kUpstreams = 8;
 constexpr int kUpstreamSlots = 32;
 constexpr int kMaxConnections = 400;
-/** Entries that may stop at once: at least half of them go on. */
 constexpr std::size_t kMaxSeries = 4;
-constexpr seconds kMaxGraceChange{4};
+constexpr long kMaxGraceChange = 4;
 /** Each running request makes an upstream this much slower. */
 constexpr double kSlowdownPerRequest = 0.02;
 constexpr double kSlowFactor = 2;
@@ -35,25 +36,15 @@
   plain,
   second_signal,
   right_after_start,
-  settings_before,
-  settings_beside,
-  settings_changed_before,
-  settings_changed_during,
+  reload_before,
+  reload_beside,
+  grace_changed_before,
+  grace_changed_during,
 };
-constexpr std::size_t kVariants =
-    static_cast<std::size_t>(stop_variant::settings_changed_during) + 1;
-
-std::string_view NameOf(stop_variant variant) {
-  constexpr std::array<std::string_view, kVariants> kNames{
-      "plain",
-      "second signal",
-      "right after start",
-      "reload before",
-      "reload beside",
-      "grace changed before",
-      "grace changed during"};
-  return kNames.at(static_cast<std::size_t>(variant));
-}
+constexpr std::array<std::string_view, 7> kVariantNames{
+    "no_change",           "second_signal", "right_after_start",
+    "reload_before",       "reload_beside", "grace_changed_before",
+    "grace_changed_during"};
 
 /** @brief A planned stop, drawn in advance. */
 struct stop_step {
@@ -63,7 +54,6 @@
   /** From the signal to what is done beside it. */
   milliseconds beside{};
   milliseconds restart{};
-  /** New grace period, if the variant changes it. */
   seconds new_grace{};
 };
 
@@ -75,30 +65,21 @@
         traffic_random_(options.seed + 1),
         judge_(UntimedChecks()),
         system_(io_, options.system, judge_, traffic_random_),
-        context_{system_, judge_, traffic_random_, {}} {
+        context_{system_, judge_, traffic_random_} {
     rule_.timed = options.timed;
-    context_.long_pauses = options.long_pauses;
+    ServeStopCallers(system_);
     for (auto& item : system_.upstreams) {
       item->server->slots = kUpstreamSlots;
       system_.store.Put("servers", item->id, item->server->Entry("ready"));
     }
-    PrepareUpstreams(context_);
   }
 
   int Run() {
     asio::co_spawn(io_, Monitor(), asio::detached);
-    bool done = false;
-    std::exception_ptr failure;
-    asio::co_spawn(io_, RunSchedule(), [&](std::exception_ptr thrown) {
-      failure = thrown;
-      done = true;
-    });
-    while (!done) {
+    Spawn(RunSchedule());
+    while (running_ > 0) {
       io_.run_one();
     }
-    if (failure) {
-      std::rethrow_exception(failure);
-    }
     return Summarize();
   }
 
@@ -122,7 +103,8 @@
 
   asio::awaitable<void> RunSchedule() {
     for (std::size_t i = 0; i < options_.callers; ++i) {
-      asio::co_spawn(io_, RunStopCaller(context_, i), asio::detached);
+      asio::co_spawn(io_, RunStopCaller(context_, i, options_.long_pauses),
+                     asio::detached);
     }
     co_await Wait(kWarmUp);
     const auto end = SuspendAwareNow() + options_.length;
@@ -131,7 +113,7 @@
       co_await Wait(schedule_random_.Between(
           milliseconds(2000), options_.system.stop_grace + seconds(4)));
     }
-    while (running_ > 0) {
+    while (running_ > 1) {
       co_await Wait(kPoll);
     }
     context_.stopping = true;
@@ -147,44 +129,51 @@
     for (std::size_t i = 0; i < stops; ++i) {
       stop_step step;
       step.entry = random.Below(system_.entries.size());
-      step.variant = static_cast<stop_variant>(random.Below(kVariants));
+      step.variant =
+          static_cast<stop_variant>(random.Below(kVariantNames.size()));
       step.start = random.Between(milliseconds(0), milliseconds(3000));
       step.beside = random.Between(milliseconds(0), milliseconds(4000));
       step.restart = random.Between(milliseconds(200), milliseconds(2000));
-      const auto change =
-          static_cast<long>(random.Below(2 * kMaxGraceChange.count() + 1));
+      const auto change = static_cast<long>(random.Below(2 * kMaxGraceChange));
       step.new_grace =
-          std::max(seconds(1), options_.system.stop_grace + seconds(change) -
-                                   kMaxGraceChange);
+          std::max(seconds(1), options_.system.stop_grace +
+                                   seconds(change - kMaxGraceChange));
       Spawn(StopEntry(step));
     }
-    auto& up = *system_.upstreams[random.Below(system_.upstreams.size())];
+    constexpr std::array<fault_kind, 3> kBeside{fault_kind::manifest_changed,
+                                                fault_kind::upstream_leaves,
+                                                fault_kind::upstream_replaced};
+    fault spec;
+    spec.target = random.Below(system_.upstreams.size());
     const auto delay = random.Between(milliseconds(0), milliseconds(6000));
-    const auto time = random.Between(milliseconds(2000), milliseconds(12000));
-    switch (random.Below(6)) {
-      case 0:
-      case 1:
-        Spawn(ChangeManifest(delay));
-        break;
-      case 2:
-        Spawn(LeaveUpstream(up, delay, time));
-        break;
-      case 3:
-        Spawn(ReplaceUpstream(up, delay));
-        break;
-      case 4:
-        Spawn(SlowUpstream(up, delay, time));
-        break;
-      default:
-        break;
+    const auto kind = random.Below(kBeside.size() + 2);
+    if (kind < kBeside.size()) {
+      spec.kind = kBeside.at(kind);
+      spec.duration = random.Between(milliseconds(200), milliseconds(1000));
+      Spawn(InjectAfter(delay, spec));
+    } else if (kind == kBeside.size()) {
+      Spawn(SlowUpstream(*system_.upstreams[spec.target], delay));
     }
   }
 
+  asio::awaitable<void> InjectAfter(milliseconds delay, fault spec) {
+    co_await Wait(delay);
+    co_await Inject(system_, judge_, spec);
+  }
+
+  asio::awaitable<void> SlowUpstream(upstream& node, milliseconds delay) {
+    co_await Wait(delay);
+    node.failing = true;
+    co_await Wait(2 * delay);
+    node.failing = false;
+  }
+
+  /** At least half of the entries go on at any time. */
   [[nodiscard]] bool CanStop(const entry& node) const {
     const auto busy =
         std::count_if(system_.entries.begin(), system_.entries.end(),
                       [](const auto& item) { return item->busy; });
-    return !node.busy && node.Runs() &&
+    return !node.busy &&
            static_cast<std::size_t>(busy) < system_.entries.size() / 2;
   }
 
@@ -195,20 +184,19 @@
       co_return;
     }
     node.busy = true;
-    if (step.variant == stop_variant::settings_before) {
-      node.Signal(SIGHUP);
+    if (step.variant == stop_variant::reload_before) {
+      ChangeGrace(node, node.stop_grace);
       co_await Wait(step.beside / 4);
-    }
-    if (step.variant == stop_variant::settings_changed_before) {
+    } else if (step.variant == stop_variant::grace_changed_before) {
       ChangeGrace(node, step.new_grace);
       co_await Wait(step.beside / 4);
     }
-    co_await StopOnce(node, step);
+    co_await StopProcess(node, step);
     if (step.variant == stop_variant::right_after_start) {
       co_await Wait(step.restart);
       system_.StartProcess(node);
       co_await Wait(step.beside / 2);
-      co_await StopOnce(node, step);
+      co_await StopProcess(node, step);
     }
     co_await Wait(step.restart);
     node.stop_grace = options_.system.stop_grace;
@@ -218,13 +206,13 @@
 
   /** Signals a process, and kills it after its grace period as the platform
    * does. */
-  asio::awaitable<void> StopOnce(entry& node, stop_step step) {
-    auto& stop = context_.record.stops[node.ProcessName()];
-    stop.label = NameOf(step.variant);
+  asio::awaitable<void> StopProcess(entry& node, stop_step step) {
+    auto& stop = stops_[node.ProcessName()];
+    stop.label = kVariantNames.at(static_cast<std::size_t>(step.variant));
     stop.grace = node.stop_grace;
     stop.at = SuspendAwareNow();
     node.Signal(SIGTERM);
-    if (step.variant == stop_variant::settings_beside) {
+    if (step.variant == stop_variant::reload_beside) {
       node.Signal(SIGHUP);
     }
     bool is_beside_done = false;
@@ -236,120 +224,44 @@
       }
       if (now >= stop.at + step.beside && !is_beside_done) {
         is_beside_done = true;
-        DoBeside(node, step);
+        if (step.variant == stop_variant::second_signal) {
+          node.Signal(SIGTERM);
+        } else if (step.variant == stop_variant::grace_changed_during) {
+          ChangeGrace(node, step.new_grace);
+        }
       }
       co_await Wait(kPoll);
     }
     stop.exited = SuspendAwareNow();
   }
 
-  void DoBeside(entry& node, const stop_step& step) {
-    if (step.variant == stop_variant::second_signal) {
-      node.Signal(SIGTERM);
-    } else if (step.variant == stop_variant::settings_changed_during) {
-      ChangeGrace(node, step.new_grace);
-    }
-  }
-
   void ChangeGrace(entry& node, seconds grace) {
     node.stop_grace = grace;
     system_.WriteSettings(node);
     node.Signal(SIGHUP);
   }
 
-  asio::awaitable<void> ChangeManifest(milliseconds delay) {
-    co_await Wait(delay);
-    system_.WriteManifest();
-  }
-
-  /** Breaks off what runs at an upstream. */
-  void BreakOff(upstream& node) {
-    const auto now = SuspendAwareNow();
-    for (auto& [id, request] : context_.record.requests) {
-      for (auto& run : request.runs) {
-        if (run.upstream == node.id && !run.ended) {
-          run.ended = now;
-          run.broke_off = true;
-        }
-      }
-    }
-    node.breaks_off = true;
-    node.link->SetFault(link_fault::reset);
-  }
-
-  asio::awaitable<void> LeaveUpstream(upstream& node,
-                                      milliseconds delay,
-                                      milliseconds time) {
-    co_await Wait(delay);
-    if (node.busy) {
-      co_return;
-    }
-    node.busy = true;
-    system_.store.Put("servers", node.id, node.server->Entry("draining"));
-    co_await Wait(time);
-    co_await Replace(node);
-  }
-
-  asio::awaitable<void> ReplaceUpstream(upstream& node, milliseconds delay) {
-    co_await Wait(delay);
-    if (node.busy) {
-      co_return;
-    }
-    node.busy = true;
-    co_await Replace(node);
-  }
-
-  asio::awaitable<void> Replace(upstream& node) {
-    BreakOff(node);
-    system_.store.Drop("servers", node.id);
-    co_await Wait(milliseconds(300));
-    system_.Reregister(node, true);
-    node.link->SetFault(link_fault::none);
-    node.breaks_off = false;
-    node.busy = false;
-  }
-
-  asio::awaitable<void> SlowUpstream(upstream& node,
-                                     milliseconds delay,
-                                     milliseconds time) {
-    co_await Wait(delay);
-    node.failing = true;
-    co_await Wait(time);
-    node.failing = false;
-  }
-
   /** Makes upstreams slower under load, and notes delays of this process. */
   asio::awaitable<void> Monitor() {
-    constexpr milliseconds kInterval{50};
     while (!context_.stopping) {
       const auto before = SuspendAwareNow();
-      co_await Wait(kInterval);
-      if (SuspendAwareNow() - before > kInterval + kMaxTimerDelay) {
-        ++stalls_;
-      }
-      std::map<std::string_view, int> load;
-      for (const auto& [id, request] : context_.record.requests) {
-        for (const auto& run : request.runs) {
-          load[run.upstream] += run.ended ? 0 : 1;
-        }
-      }
+      co_await Wait(kPoll);
+      stalls_ += SuspendAwareNow() - before > kPoll + kMaxTimerDelay ? 1 : 0;
       for (auto& item : system_.upstreams) {
-        item->server->slowdown = (1 + kSlowdownPerRequest * load[item->id]) *
+        item->server->slowdown = (1 + kSlowdownPerRequest * item->running) *
                                  (item->failing ? kSlowFactor : 1);
       }
     }
   }
 
   int Summarize() {
-    PrintCases(std::cout, rule_, context_.record);
-    PrintTotals(std::cout, rule_, context_.record);
+    const auto totals = JudgeStops(std::cout, rule_, stops_, judge_.Requests());
     for (const auto& broken : judge_.Violations()) {
-      std::cout << "BROKEN " << soak::NameOf(broken.broken) << ' '
-                << broken.request << ": " << broken.detail << '\n';
+      std::cout << "BROKEN " << NameOf(broken.broken) << ' ' << broken.request
+                << ": " << broken.detail << '\n';
     }
-    const auto outcomes = CountOutcomes(rule_, context_.record);
-    std::size_t cut = 0;
-    for (const auto& [outcome, count] : outcomes) {
+    int cut = 0;
+    for (const auto& [outcome, count] : totals) {
       cut += IsCounted(outcome) ? count : 0;
     }
     std::cout << "held up: " << stalls_
@@ -359,7 +271,7 @@
     if (cut > 0 || !judge_.Violations().empty()) {
       return 1;
     }
-    return outcomes.contains(stop_outcome::served) ? 0 : 2;
+    return totals.contains(stop_outcome::served) ? 0 : 2;
   }
 
   planned_stop_options options_;
@@ -368,7 +280,8 @@
   random_source traffic_random_;
   judge judge_;
   deployment system_;
-  stop_context context_;
+  caller_context context_;
+  planned_stops stops_;
   stop_rule rule_;
   int running_{};
   int stalls_{};
--- a/soak/stop_judge.cc
+++ b/soak/stop_judge.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iomanip>
+#include <sstream>
 
 namespace mimosadeck::soak {
 
@@ -16,65 +17,40 @@
 constexpr milliseconds kBucket{500};
 /** A process ends within this time after it cuts its requests. */
 constexpr milliseconds kExitTime{500};
-/** Samples that an entry needs for an estimate; printed cases say how many
- * requests of the route it had served. */
-constexpr std::size_t kKeptSamples = 64;
-
 /** An upstream may notice a cut this much earlier than the caller. */
 constexpr milliseconds kNoticeOfCut{100};
+/** Failure of a connection that the entry closed after it read the request. */
+constexpr std::string_view kClosed = "end of";
 
-struct served_summary {
-  std::size_t count{};
-  milliseconds longest{};
-};
-
-/** Summarizes what the process had served on a route when a request was sent.
- */
-served_summary ServedBefore(const stop_record& record,
-                            const stop_request& request) {
-  std::vector<std::pair<mono_time, milliseconds>> times;
-  for (const auto& [id, other] : record.requests) {
-    if (other.process == request.process && other.route == request.route &&
-        other.is_complete && other.status == kSuccessStatus &&
-        other.ended <= request.sent) {
-      times.emplace_back(other.ended, std::chrono::duration_cast<milliseconds>(
-                                          other.ended - other.sent));
-    }
-  }
-  std::sort(times.rbegin(), times.rend());
-  served_summary out;
-  out.count = times.size();
-  for (std::size_t i = 0; i < std::min(times.size(), kKeptSamples); ++i) {
-    out.longest = std::max(out.longest, times[i].second);
-  }
-  return out;
-}
-
-/** A time since the signal, in seconds. */
-struct since {
-  mono_time time;
-  mono_time signal;
-};
-
-std::ostream& operator<<(std::ostream& out, since value) {
-  const std::chrono::duration<double> seconds = value.time - value.signal;
-  return out << std::showpos << std::fixed << std::setprecision(2)
-             << seconds.count() << std::noshowpos;
+mono_time LastSixth(const planned_stop& stop) {
+  return stop.at + stop.grace - stop.grace / 6;
 }
 
-std::ostream& PrintSeconds(std::ostream& out, milliseconds time) {
-  return out << std::fixed << std::setprecision(2)
-             << std::chrono::duration<double>(time).count();
+bool WorkedInLastSixth(const judged_request& request,
+                       const planned_stop& stop) {
+  return std::any_of(request.runs.begin(), request.runs.end(),
+                     [&stop](const auto& run) {
+                       return !run.ended || *run.ended >= LastSixth(stop);
+                     });
 }
 
 /** Whether the upstream broke off, also when a run that went on after it had
  * nothing left to send. */
-bool BrokeOff(const stop_request& request) {
+bool BrokeOff(const judged_request& request) {
   const auto& last = request.runs.back();
-  return last.broke_off ||
+  return last.aborts ||
          (last.is_finished &&
           std::any_of(request.runs.begin(), request.runs.end(),
-                      [](const auto& run) { return run.broke_off; }));
+                      [](const auto& run) { return run.aborts; }));
+}
+
+stop_outcome JudgeAnswered(const judged_request& request) {
+  if (request.answer->status == kRefusedStatus) {
+    return request.sent.is_repeat ? stop_outcome::refused_for_good
+                                  : stop_outcome::refused;
+  }
+  return request.answer->status == kSuccessStatus ? stop_outcome::served
+                                                  : stop_outcome::other;
 }
 
 bool IsInterrupted(stop_outcome outcome) {
@@ -83,38 +59,57 @@
          outcome == stop_outcome::outlasted_stop || IsCounted(outcome);
 }
 
+std::string Seconds(mono_time::duration time) {
+  std::ostringstream out;
+  out << std::showpos << std::fixed << std::setprecision(2)
+      << std::chrono::duration<double>(time).count();
+  return out.str();
+}
+
+/** Describes what the process had served on the route before the request. */
+std::string ServedBefore(const judged_requests& requests,
+                         const judged_request& request) {
+  int count = 0;
+  mono_time::duration longest{};
+  for (const auto& [id, other] : requests) {
+    if (other.answer && other.sent.process == request.sent.process &&
+        other.sent.route == request.sent.route && other.answer->is_complete &&
+        other.answer->status == kSuccessStatus &&
+        other.answer->at <= request.sent.at) {
+      ++count;
+      longest = std::max(longest, other.answer->at - other.sent.at);
+    }
+  }
+  return ", served before " + std::to_string(count) + ", longest " +
+         Seconds(longest);
+}
+
 void PrintCase(std::ostream& out,
-               const stop_record& record,
-               const stop_request& request,
+               const judged_request& request,
                const planned_stop& stop,
                stop_outcome outcome) {
-  const auto served = ServedBefore(record, request);
+  const auto& sent = request.sent;
+  const auto& answer = *request.answer;
   out << (IsCounted(outcome) ? "COUNTED " : "excused ") << NameOf(outcome)
-      << ' ' << request.id << ' ' << request.route << " at " << request.process
-      << " (" << stop.label << "; grace ";
-  PrintSeconds(out, stop.grace) << "): sent " << since{request.sent, stop.at};
-  if (request.runs.empty()) {
-    out << ", no run";
-  } else {
-    const auto& run = request.runs.back();
-    out << ", run " << since{run.began, stop.at};
+      << ' ' << sent.id << ' ' << sent.route << " at " << sent.process << " ("
+      << stop.label << "; grace " << stop.grace.count() << " ms): sent "
+      << Seconds(sent.at - stop.at);
+  for (const auto& run : request.runs) {
+    out << ", run " << Seconds(run.at - stop.at) << " at " << run.upstream;
     if (run.ended) {
-      out << ", work ended " << since{*run.ended, stop.at};
+      out << " until " << Seconds(*run.ended - stop.at);
     }
-    const bool at_cut =
-        !run.ended || *run.ended >= request.ended - kNoticeOfCut;
-    out << ", at work at the cut " << (at_cut ? "yes" : "no")
-        << ", in the last sixth "
-        << (WorkedInLastSixth(request, stop) ? "yes" : "no");
-  }
-  out << ", cut " << since{request.ended, stop.at} << " (" << request.failure
-      << "), status " << request.status << ", process ended ";
-  if (stop.exited) {
-    out << since{*stop.exited, stop.at};
   }
-  out << (stop.is_killed ? " by SIGKILL" : "") << ", served before "
-      << served.count << ", longest ";
-  PrintSeconds(out, served.longest) << '\n';
+  const bool at_cut =
+      std::any_of(request.runs.begin(), request.runs.end(), [&](auto& run) {
+        return !run.ended || *run.ended >= answer.at - kNoticeOfCut;
+      });
+  out << ", cut " << Seconds(answer.at - stop.at) << " (" << answer.failure
+      << ", status " << answer.status << "), at work at the cut "
+      << (at_cut ? "yes" : "no") << ", in the last sixth "
+      << (WorkedInLastSixth(request, stop) ? "yes" : "no") << ", process ended "
+      << (stop.exited ? Seconds(*stop.exited - stop.at) : "never")
+      << (stop.is_killed ? " by SIGKILL" : "");
 }
 
 }  // namespace
@@ -139,134 +134,90 @@
   return outcome == stop_outcome::cut || outcome == stop_outcome::cut_early;
 }
 
-bool WorkedInLastSixth(const stop_request& request, const planned_stop& stop) {
-  const auto last_sixth = stop.at + stop.grace - stop.grace / 6;
-  return std::any_of(
-      request.runs.begin(), request.runs.end(),
-      [&](const auto& run) { return !run.ended || *run.ended >= last_sixth; });
-}
-
 stop_outcome Judge(const stop_rule& rule,
-                   const stop_request& request,
+                   const judged_request& request,
                    const planned_stop& stop) {
-  if (request.ended < stop.at ||
-      request.sent > stop.at + stop.grace + rule.aftermath) {
+  const auto end_of_stop = stop.at + stop.grace + rule.aftermath;
+  if (!request.answer || request.answer->at < stop.at ||
+      request.sent.at > end_of_stop) {
     return stop_outcome::beside_no_stop;
   }
-  if (request.is_complete) {
-    if (request.status == internal::kRefusedStatus) {
-      return request.is_repeat ? stop_outcome::refused_for_good
-                               : stop_outcome::refused;
-    }
-    return request.status == internal::kSuccessStatus ? stop_outcome::served
-                                                      : stop_outcome::other;
+  const auto& answer = *request.answer;
+  if (answer.is_complete) {
+    return internal::JudgeAnswered(request);
   }
-  if (request.caller_left) {
-    return stop_outcome::other;
-  }
-  if (request.ended > stop.at + stop.grace + rule.aftermath) {
+  if (answer.at > end_of_stop) {
     return stop_outcome::beside_no_stop;
   }
-  if (request.ended - request.sent >= request.limit) {
+  if (answer.at - request.sent.at >= request.sent.limit) {
     return stop_outcome::limit_reached;
   }
-  const auto last_sixth = stop.at + stop.grace - stop.grace / 6;
-  if (!rule.timed && request.ended >= last_sixth) {
+  const auto last_sixth = internal::LastSixth(stop);
+  if (!rule.timed && answer.at >= last_sixth) {
     return stop_outcome::outlasted_stop;
   }
   if (request.runs.empty()) {
-    const bool is_held = !request.is_reset && request.status == 0 &&
-                         request.ended - request.sent > rule.loss_slack;
-    return is_held ? stop_outcome::cut : stop_outcome::unread;
+    const bool is_read = answer.failure.starts_with(internal::kClosed);
+    return is_read && answer.at - request.sent.at > rule.loss_slack
+               ? stop_outcome::cut
+               : stop_outcome::unread;
   }
   if (internal::BrokeOff(request)) {
     return stop_outcome::upstream_broke_off;
   }
-  if (request.sent <= stop.at + rule.notice &&
-      WorkedInLastSixth(request, stop)) {
+  if (request.sent.at <= stop.at + rule.notice &&
+      internal::WorkedInLastSixth(request, stop)) {
     return stop_outcome::outlasted_stop;
   }
   const bool runs_on =
-      !stop.exited || *stop.exited > request.ended + internal::kExitTime;
-  return runs_on && request.ended < last_sixth ? stop_outcome::cut_early
-                                               : stop_outcome::cut;
-}
-
-stop_outcome Judge(const stop_rule& rule,
-                   const stop_record& record,
-                   const stop_request& request) {
-  const auto stop = record.stops.find(request.process);
-  return stop == record.stops.end() ? stop_outcome::beside_no_stop
-                                    : Judge(rule, request, stop->second);
+      !stop.exited || *stop.exited > answer.at + internal::kExitTime;
+  return runs_on && answer.at < last_sixth ? stop_outcome::cut_early
+                                           : stop_outcome::cut;
 }
 
-void PrintCases(std::ostream& out,
-                const stop_rule& rule,
-                const stop_record& record) {
-  for (const auto& [id, request] : record.requests) {
-    const auto outcome = Judge(rule, record, request);
-    if (internal::IsInterrupted(outcome)) {
-      internal::PrintCase(out, record, request,
-                          record.stops.at(request.process), outcome);
-    }
-  }
-}
-
-void PrintTotals(std::ostream& out,
-                 const stop_rule& rule,
-                 const stop_record& record) {
-  std::map<std::string_view, int> by_outcome;
-  std::map<std::string, std::map<std::string_view, int>> by_label;
-  std::map<std::int64_t, std::map<std::string_view, int>> by_time;
-  for (const auto& [id, request] : record.requests) {
-    const auto outcome = Judge(rule, record, request);
-    const auto name = NameOf(outcome);
-    ++by_outcome[name];
+std::map<stop_outcome, int> JudgeStops(std::ostream& out,
+                                       const stop_rule& rule,
+                                       const planned_stops& stops,
+                                       const judged_requests& requests) {
+  std::map<stop_outcome, int> totals;
+  std::map<std::string, std::map<std::string_view, int>> counts;
+  for (const auto& [id, request] : requests) {
+    const auto found = stops.find(request.sent.process);
+    const auto outcome = found == stops.end()
+                             ? stop_outcome::beside_no_stop
+                             : Judge(rule, request, found->second);
+    ++totals[outcome];
+    ++counts["in all:"][NameOf(outcome)];
     if (outcome == stop_outcome::beside_no_stop) {
       continue;
     }
-    const auto& stop = record.stops.at(request.process);
-    ++by_label[stop.label][name];
-    if (request.sent >= stop.at) {
-      auto& counts = by_time[(request.sent - stop.at) / internal::kBucket];
-      ++counts[request.runs.empty() ? "not_taken" : "taken"];
-      ++counts[name];
+    const auto& stop = found->second;
+    ++counts["beside " + stop.label + ':'][NameOf(outcome)];
+    if (request.sent.at >= stop.at) {
+      const auto bucket = (request.sent.at - stop.at) / internal::kBucket;
+      auto& line =
+          counts["at " + internal::Seconds(bucket * internal::kBucket) + " s:"];
+      ++line[request.runs.empty() ? "not_taken" : "taken"];
+      ++line[NameOf(outcome)];
     }
-  }
-  const auto print = [&out](const auto& counts) {
-    for (const auto& [name, count] : counts) {
-      out << ' ' << name << '=' << count;
+    if (internal::IsInterrupted(outcome)) {
+      internal::PrintCase(out, request, stop, outcome);
+      out << internal::ServedBefore(requests, request) << '\n';
     }
-    out << '\n';
-  };
-  for (const auto& [bucket, counts] : by_time) {
-    out << "sent ";
-    internal::PrintSeconds(out, bucket * internal::kBucket)
-        << " s after the signal:";
-    print(counts);
   }
-  for (const auto& [label, counts] : by_label) {
-    const auto stops = std::count_if(record.stops.begin(), record.stops.end(),
-                                     [&label = label](const auto& item) {
-                                       return item.second.label == label;
-                                     });
-    out << "stops (" << label << "): " << stops << ';';
-    print(counts);
+  for (const auto& [name, stop] : stops) {
+    ++counts["beside " + stop.label + ':']["stops"];
+    ++counts["in all:"]["stops"];
+    counts["in all:"]["killed"] += stop.is_killed ? 1 : 0;
   }
-  out << "stops: " << record.stops.size() << "; killed: "
-      << std::count_if(record.stops.begin(), record.stops.end(),
-                       [](const auto& item) { return item.second.is_killed; })
-      << "; requests:";
-  print(by_outcome);
-}
-
-std::map<stop_outcome, std::size_t> CountOutcomes(const stop_rule& rule,
-                                                  const stop_record& record) {
-  std::map<stop_outcome, std::size_t> out;
-  for (const auto& [id, request] : record.requests) {
-    ++out[Judge(rule, record, request)];
+  for (const auto& [name, values] : counts) {
+    out << name;
+    for (const auto& [outcome, count] : values) {
+      out << ' ' << outcome << '=' << count;
+    }
+    out << '\n';
   }
-  return out;
+  return totals;
 }
 
 }  // namespace mimosadeck::soak
--- a/soak/stop_judge.h
+++ b/soak/stop_judge.h
@@ -1,33 +1,28 @@
 #ifndef SOAK_STOP_JUDGE_H_
 #define SOAK_STOP_JUDGE_H_
 
-#include <chrono>
 #include <map>
-#include <optional>
 #include <ostream>
-#include <string>
-#include <string_view>
-#include <vector>
 
-#include "base/time.h"
+#include "soak/judge.h"
 
 namespace mimosadeck::soak {
 
 /** @brief Times of the rule on planned stops. */
 struct stop_rule {
-  /** Callers may know of a stop this long after the signal. */
+  /** Callers may not know of a stop for this long after the signal. */
   std::chrono::milliseconds notice{3000};
   /** A stop lasts until this long after its grace period. */
   std::chrono::milliseconds aftermath{1000};
-  /** A connection may close this long after a request that was not passed on.
-   */
+  /** A connection may close within this time after a request that was not
+   * passed on. */
   std::chrono::milliseconds loss_slack{200};
   /** Off on slow machines: then a cut counts only if it comes before the last
-   * sixth of the grace period, which a slow machine cannot bring about. */
+   * sixth of the grace period, which slowness cannot bring about. */
   bool timed{true};
 };
 
-/** @brief A process that was told to stop. */
+/** @brief The planned stop of a process. */
 struct planned_stop {
   mono_time at;
   std::chrono::milliseconds grace{};
@@ -38,41 +33,6 @@
   bool is_killed{};
 };
 
-/** @brief The work of an upstream on a request. */
-struct upstream_work {
-  std::string upstream;
-  std::string stamp;
-  mono_time began;
-  std::optional<mono_time> ended;
-  /** The upstream sent its whole answer. */
-  bool is_finished{};
-  /** The upstream ended the connection before its answer was complete. */
-  bool broke_off{};
-};
-
-/** @brief A request of a caller, and what came of it. */
-struct stop_request {
-  std::string id;
-  std::string route;
-  std::string process;
-  mono_time sent;
-  /** The lower one of the caller's time limit and the route's timeout. */
-  std::chrono::milliseconds limit{};
-  /** Sent since another request was refused or not read. */
-  bool is_repeat{};
-  std::vector<upstream_work> runs;
-  mono_time ended;
-  /** Zero if the connection closed before a status line. */
-  int status{};
-  bool is_complete{};
-  /** Why there is no complete answer. */
-  std::string failure;
-  /** The caller gave up. */
-  bool caller_left{};
-  /** The connection was reset, so that the request may not have been read. */
-  bool is_reset{};
-};
-
 /** @brief What happened to a request beside a planned stop. */
 enum class stop_outcome {
   /** The entry did not stop while the request was open. */
@@ -96,44 +56,26 @@
 
 [[nodiscard]] std::string_view NameOf(stop_outcome outcome);
 
-/** @brief Stops by process, and requests by id. */
-struct stop_record {
-  std::map<std::string, planned_stop> stops;
-  std::map<std::string, stop_request> requests;
-};
-
-/** @brief Returns whether an upstream worked on a request in the last sixth of
- * the grace period. */
-[[nodiscard]] bool WorkedInLastSixth(const stop_request& request,
-                                     const planned_stop& stop);
-
 /** @brief Returns whether an outcome breaks the rule on planned stops. */
 [[nodiscard]] bool IsCounted(stop_outcome outcome);
 
 /** @brief Judges a request of a process that was told to stop. */
 [[nodiscard]] stop_outcome Judge(const stop_rule& rule,
-                                 const stop_request& request,
+                                 const judged_request& request,
                                  const planned_stop& stop);
 
-/** @brief Judges a request by the stop of its process, if there was one. */
-[[nodiscard]] stop_outcome Judge(const stop_rule& rule,
-                                 const stop_record& record,
-                                 const stop_request& request);
-
-/** @brief Prints every interrupted request, with times since the signal. */
-void PrintCases(std::ostream& out,
-                const stop_rule& rule,
-                const stop_record& record);
+/** @brief Stops by process. */
+using planned_stops = std::map<std::string, planned_stop>;
 
-/** @brief Prints totals by outcome, kind of stop and half second. */
-void PrintTotals(std::ostream& out,
-                 const stop_rule& rule,
-                 const stop_record& record);
+/** @brief Requests by id. */
+using judged_requests = std::map<std::string, judged_request>;
 
-/** @brief Number of requests with each outcome. */
-[[nodiscard]] std::map<stop_outcome, std::size_t> CountOutcomes(
-    const stop_rule& rule,
-    const stop_record& record);
+/** @brief Judges all requests; prints each interrupted one, with times since
+ * the signal, and totals by half second, kind of stop and outcome. */
+std::map<stop_outcome, int> JudgeStops(std::ostream& out,
+                                       const stop_rule& rule,
+                                       const planned_stops& stops,
+                                       const judged_requests& requests);
 
 }  // namespace mimosadeck::soak
 
