--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -178,47 +178,15 @@
 }  // namespace internal
 
 std::string_view NameOf(fault_kind kind) {
-  switch (kind) {
-    case fault_kind::entry_killed:
-      return "entry_killed";
-    case fault_kind::entry_stopped:
-      return "entry_stopped";
-    case fault_kind::entry_paused:
-      return "entry_paused";
-    case fault_kind::settings_changed:
-      return "settings_changed";
-    case fault_kind::clock_stepped:
-      return "clock_stepped";
-    case fault_kind::all_entries_killed:
-      return "all_entries_killed";
-    case fault_kind::store_link_fault:
-      return "store_link_fault";
-    case fault_kind::caller_link_fault:
-      return "caller_link_fault";
-    case fault_kind::upstream_link_fault:
-      return "upstream_link_fault";
-    case fault_kind::store_refuses:
-      return "store_refuses";
-    case fault_kind::store_loses_answers:
-      return "store_loses_answers";
-    case fault_kind::store_silent:
-      return "store_silent";
-    case fault_kind::store_forgets:
-      return "store_forgets";
-    case fault_kind::upstream_fails:
-      return "upstream_fails";
-    case fault_kind::upstream_crashes:
-      return "upstream_crashes";
-    case fault_kind::upstream_replaced:
-      return "upstream_replaced";
-    case fault_kind::upstream_leaves:
-      return "upstream_leaves";
-    case fault_kind::manifest_changed:
-      return "manifest_changed";
-    case fault_kind::manifest_storm:
-      return "manifest_storm";
-  }
-  return "unlisted";
+  constexpr std::array<std::string_view, 19> kNames{
+      "entry_killed",      "entry_stopped",       "entry_paused",
+      "settings_changed",  "clock_stepped",       "all_entries_killed",
+      "store_link_fault",  "caller_link_fault",   "upstream_link_fault",
+      "store_refuses",     "store_loses_answers", "store_silent",
+      "store_forgets",     "upstream_fails",      "upstream_crashes",
+      "upstream_replaced", "upstream_leaves",     "manifest_changed",
+      "manifest_storm"};
+  return kNames.at(static_cast<std::size_t>(kind));
 }
 
 std::vector<fault> MakeSchedule(random_source& random, milliseconds length) {
--- a/soak/judge.cc
+++ b/soak/judge.cc
@@ -1,6 +1,7 @@
 #include "soak/judge.h"
 
 #include <algorithm>
+#include <array>
 
 #include "platform/upstream_stand_in.h"
 
@@ -43,33 +44,12 @@
 }  // namespace internal
 
 std::string_view NameOf(promise kind) {
-  switch (kind) {
-    case promise::at_most_once:
-      return "at_most_once";
-    case promise::truthful_refusal:
-      return "truthful_refusal";
-    case promise::whole_answer:
-      return "whole_answer";
-    case promise::right_account:
-      return "right_account";
-    case promise::withdrawn_right:
-      return "withdrawn_right";
-    case promise::leaving_upstream:
-      return "leaving_upstream";
-    case promise::manifest_order:
-      return "manifest_order";
-    case promise::allowed_request:
-      return "allowed_request";
-    case promise::one_report:
-      return "one_report";
-    case promise::one_holder:
-      return "one_holder";
-    case promise::answered:
-      return "answered";
-    case promise::recovery:
-      return "recovery";
-  }
-  return "unlisted";
+  constexpr std::array<std::string_view, 12> kNames{
+      "at_most_once",   "truthful_refusal", "whole_answer",
+      "right_account",  "withdrawn_right",  "leaving_upstream",
+      "manifest_order", "allowed_request",  "one_report",
+      "one_holder",     "answered",         "recovery"};
+  return kNames.at(static_cast<std::size_t>(kind));
 }
 
 bool IsStream(request_kind kind) {
--- a/soak/link_proxy.cc
+++ b/soak/link_proxy.cc
@@ -46,24 +46,6 @@
 }  // namespace
 }  // namespace internal
 
-std::string_view NameOf(link_fault fault) {
-  switch (fault) {
-    case link_fault::none:
-      return "none";
-    case link_fault::delayed:
-      return "delayed";
-    case link_fault::reset:
-      return "reset";
-    case link_fault::requests_cut:
-      return "requests_cut";
-    case link_fault::answers_cut:
-      return "answers_cut";
-    case link_fault::silent:
-      return "silent";
-  }
-  return "unlisted";
-}
-
 struct link_proxy::impl : std::enable_shared_from_this<impl> {
   impl(asio::io_context& io, std::string target)
       : io(io),
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -24,9 +24,6 @@
   silent,
 };
 
-/** @brief Returns a fault's name, for logs. */
-[[nodiscard]] std::string_view NameOf(link_fault fault);
-
 /** @brief TCP proxy over loopback that injects faults on demand. */
 class link_proxy {
  public:
--- a/test/soak/judge_test.cc
+++ b/test/soak/judge_test.cc
@@ -3,6 +3,7 @@
 
 #include "platform/upstream_stand_in.h"
 #include "soak/judge.h"
+#include "soak/stop_judge.h"
 
 namespace {
 
@@ -12,11 +13,15 @@
 using mimosadeck::platform_test::WholeStream;
 using mimosadeck::soak::judge;
 using mimosadeck::soak::judge_options;
+using mimosadeck::soak::judged_request;
 using mimosadeck::soak::observed_run;
+using mimosadeck::soak::planned_stop;
 using mimosadeck::soak::promise;
 using mimosadeck::soak::request_kind;
 using mimosadeck::soak::response;
 using mimosadeck::soak::sent_request;
+using mimosadeck::soak::stop_outcome;
+using mimosadeck::soak::stop_rule;
 
 /** A judge, and events that keep every promise unless a test changes them. */
 struct judge_fixture {
@@ -378,4 +383,114 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A stop with a grace period of 8 s, and a stream that it cuts at its end. */
+struct stop_fixture : judge_fixture {
+  stop_rule rule;
+  planned_stop stop;
+  judged_request stream;
+
+  stop_fixture() {
+    stop.at = now;
+    stop.grace = 8s;
+    stop.exited = now + 7640ms;
+    stream.sent = Sent("r1", request_kind::single_stream);
+    stream.sent.limit = 15s;
+    stream.answer = Answer("r1", 200);
+    stream.answer->is_complete = false;
+    stream.answer->failure = "partial message";
+    stream.answer->at = now + 7600ms;
+    stream.runs = {Run("r1", "u1")};
+    SendAt(3200ms);
+  }
+
+  void SendAt(std::chrono::milliseconds time) {
+    stream.sent.at = now + time;
+    stream.runs.front().at = now + time + 10ms;
+  }
+
+  void CutAt(std::chrono::milliseconds time) {
+    stream.answer->at = now + time;
+    stream.runs.front().ended = now + time;
+  }
+
+  void CheckOutcome(stop_outcome expected) const {
+    BOOST_TEST(NameOf(Judge(rule, stream, stop)) == NameOf(expected));
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(stops, stop_fixture)
+
+BOOST_AUTO_TEST_CASE(stream_sent_after_notice_and_cut_counts) {
+  CheckOutcome(stop_outcome::cut);
+  BOOST_TEST(IsCounted(stop_outcome::cut));
+}
+
+BOOST_AUTO_TEST_CASE(stream_sent_in_notice_may_outlast_the_stop) {
+  SendAt(3000ms);
+  CheckOutcome(stop_outcome::outlasted_stop);
+  SendAt(-2s);
+  CheckOutcome(stop_outcome::outlasted_stop);
+}
+
+BOOST_AUTO_TEST_CASE(stream_cut_before_the_last_sixth_counts) {
+  SendAt(1s);
+  CutAt(6660ms);
+  stop.exited = now + 6700ms;
+  CheckOutcome(stop_outcome::cut);
+  stop.exited = now + 7640ms;
+  CheckOutcome(stop_outcome::cut_early);
+}
+
+BOOST_AUTO_TEST_CASE(stream_whose_upstream_was_done_before_the_cut_counts) {
+  SendAt(1s);
+  stream.runs.front().ended = now + 6s;
+  CheckOutcome(stop_outcome::cut);
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_reached_its_limit_does_not_count) {
+  stream.sent.limit = 4400ms;
+  CheckOutcome(stop_outcome::limit_reached);
+  stream.sent.limit = 4401ms;
+  CheckOutcome(stop_outcome::cut);
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_its_last_upstream_broke_off_does_not_count) {
+  stream.runs.front().aborts = true;
+  CheckOutcome(stop_outcome::upstream_broke_off);
+  stream.runs.push_back(Run("r1", "u2"));
+  CheckOutcome(stop_outcome::cut);
+  stream.runs.back().is_finished = true;
+  CheckOutcome(stop_outcome::upstream_broke_off);
+}
+
+BOOST_AUTO_TEST_CASE(request_held_without_a_run_counts_only_if_it_was_read) {
+  stream.runs.clear();
+  stream.answer->failure = "end of stream";
+  CheckOutcome(stop_outcome::cut);
+  stream.answer->failure = "Connection reset by peer";
+  CheckOutcome(stop_outcome::unread);
+  stream.answer->failure = "end of stream";
+  stream.answer->at = stream.sent.at + rule.loss_slack;
+  CheckOutcome(stop_outcome::unread);
+}
+
+BOOST_AUTO_TEST_CASE(refused_repeat_is_refused_for_good) {
+  stream.answer = Answer("r1", 503);
+  CheckOutcome(stop_outcome::refused);
+  stream.sent.is_repeat = true;
+  CheckOutcome(stop_outcome::refused_for_good);
+}
+
+BOOST_AUTO_TEST_CASE(slow_machine_judges_only_cuts_before_the_last_sixth) {
+  rule.timed = false;
+  CheckOutcome(stop_outcome::outlasted_stop);
+  SendAt(1s);
+  CutAt(5s);
+  CheckOutcome(stop_outcome::cut_early);
+  CutAt(-1s);
+  CheckOutcome(stop_outcome::beside_no_stop);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
