--- a/soak/main.cc
+++ b/soak/main.cc
@@ -33,6 +33,7 @@
   std::size_t callers{};
   bool planned_stops{};
   bool long_pauses{};
+  std::string only;
   judge_options checks;
   deployment_options system;
 };
@@ -212,6 +213,9 @@
       "", "long-pauses",
       "With --planned-stops: resumable streams may be silent for seconds",
       line);
+  const TCLAP::ValueArg<std::string> only(
+      "", "only", "With --planned-stops: the only thing done beside a stop",
+      false, "", "KIND", line);
   const TCLAP::ValueArg<int> grace(
       "", "grace", "Grace period in seconds; 8 for planned stops", false, 5,
       "SECONDS", line);
@@ -219,6 +223,7 @@
   run_options out;
   out.planned_stops = planned_stops.getValue();
   out.long_pauses = long_pauses.getValue();
+  out.only = only.getValue();
   out.seed = seed.getValue();
   out.length = std::chrono::duration_cast<std::chrono::seconds>(
       std::chrono::duration<double, std::ratio<60>>(minutes.getValue()));
@@ -242,7 +247,7 @@
     if (options.planned_stops) {
       return mimosadeck::soak::RunPlannedStops(
           {options.seed, options.length, options.callers, options.checks.timed,
-           options.long_pauses, options.system});
+           options.long_pauses, options.only, options.system});
     }
     mimosadeck::soak::soak_run run(options);
     return run.Run();
--- a/soak/planned_stops.cc
+++ b/soak/planned_stops.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <stdexcept>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -129,8 +130,7 @@
     for (std::size_t i = 0; i < stops; ++i) {
       stop_step step;
       step.entry = random.Below(system_.entries.size());
-      step.variant =
-          static_cast<stop_variant>(random.Below(kVariantNames.size()));
+      step.variant = DrawVariant();
       step.start = random.Between(milliseconds(0), milliseconds(3000));
       step.beside = random.Between(milliseconds(0), milliseconds(4000));
       step.restart = random.Between(milliseconds(200), milliseconds(2000));
@@ -156,6 +156,19 @@
     }
   }
 
+  stop_variant DrawVariant() {
+    const auto drawn = schedule_random_.Below(kVariantNames.size());
+    if (options_.only.empty()) {
+      return static_cast<stop_variant>(drawn);
+    }
+    const auto only =
+        std::find(kVariantNames.begin(), kVariantNames.end(), options_.only);
+    if (only == kVariantNames.end()) {
+      throw std::invalid_argument("no kind of stop is called " + options_.only);
+    }
+    return static_cast<stop_variant>(only - kVariantNames.begin());
+  }
+
   asio::awaitable<void> InjectAfter(milliseconds delay, fault spec) {
     co_await Wait(delay);
     co_await Inject(system_, judge_, spec);
--- a/soak/planned_stops.h
+++ b/soak/planned_stops.h
@@ -18,6 +18,8 @@
   bool timed{true};
   /** Resumable streams pause for longer than entries wait for them. */
   bool long_pauses{};
+  /** Name of the only thing that is done beside stops; empty for any. */
+  std::string only;
   deployment_options system;
 };
 
