--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -56,6 +56,13 @@
   std::string daemon;
   /** Directory for settings and logs. */
   std::string directory;
+  /** First three numbers of the entries' loopback addresses. */
+  std::string network{"127.0.9."};
+  std::chrono::seconds stop_grace{5};
+  std::chrono::milliseconds stream_timeout{3000};
+  int max_connections{200};
+  /** The routes that manifests add and withdraw carry single streams. */
+  bool rotating_streams{};
 };
 
 /** @brief A daemon, its links and its current process. */
@@ -69,6 +76,7 @@
   std::unique_ptr<link_proxy> caller_link;
   std::unique_ptr<system_test::process> process;
   int starts{};
+  std::chrono::seconds stop_grace{};
   /** Callers, ready, control and directory; ports persist across restarts. */
   std::array<std::string, 4> listeners{"", "", "", ""};
   /** A fault is stopping or restarting the entry. */
@@ -88,6 +96,8 @@
   std::unique_ptr<link_proxy> link;
   int generation{};
   bool failing{};
+  /** Requests that run. */
+  int running{};
   bool busy{};
 };
 
@@ -106,6 +116,9 @@
    * drops the oldest ones. */
   void WriteManifest();
 
+  /** @brief Writes the settings file of an entry. */
+  void WriteSettings(const entry& target) const;
+
   void StartProcess(entry& target);
 
   /** @brief Registers an upstream after a crash, or under a new id. */
@@ -126,11 +139,13 @@
  private:
   void AddEntry(std::size_t number);
   void AddUpstream(std::size_t number);
-  void OnRun(const upstream& source, const platform_test::upstream_run& run);
+  void OnRun(upstream& source, const platform_test::upstream_run& run);
+  void OnEnd(upstream& source,
+             const platform_test::upstream_run& run,
+             bool is_finished);
   [[nodiscard]] platform_test::scripted_answer ChooseAnswer(
       const upstream& source,
       const net::http_request& request);
-  void WriteSettings(const entry& target) const;
 
   boost::asio::io_context& io_;
   deployment_options options_;
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -24,9 +24,6 @@
   silent,
 };
 
-/** @brief Returns a fault's name, for logs. */
-[[nodiscard]] std::string_view NameOf(link_fault fault);
-
 /** @brief TCP proxy over loopback that injects faults on demand. */
 class link_proxy {
  public:
@@ -44,6 +41,8 @@
 
   void SetFault(link_fault fault);
 
+  [[nodiscard]] link_fault Fault() const;
+
  private:
   struct impl;
   std::shared_ptr<impl> impl_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -9,6 +9,7 @@
 
 #include "soak/callers.h"
 #include "soak/faults.h"
+#include "soak/planned_stops.h"
 
 namespace mimosadeck::soak {
 namespace {
@@ -30,6 +31,9 @@
   std::uint64_t seed{};
   std::chrono::seconds length{};
   std::size_t callers{};
+  bool planned_stops{};
+  bool long_pauses{};
+  std::string only;
   judge_options checks;
   deployment_options system;
 };
@@ -202,8 +206,24 @@
       "DIRECTORY", line);
   const TCLAP::SwitchArg untimed(
       "", "untimed", "Check no time bounds, for slow machines", line);
+  const TCLAP::SwitchArg planned_stops(
+      "", "planned-stops", "Only stop daemons as planned, under long streams",
+      line);
+  const TCLAP::SwitchArg long_pauses(
+      "", "long-pauses",
+      "With --planned-stops: resumable streams may be silent for seconds",
+      line);
+  const TCLAP::ValueArg<std::string> only(
+      "", "only", "With --planned-stops: the only thing done beside a stop",
+      false, "", "KIND", line);
+  const TCLAP::ValueArg<int> grace(
+      "", "grace", "Grace period in seconds; 8 for planned stops", false, 5,
+      "SECONDS", line);
   line.parse(count, arguments);
   run_options out;
+  out.planned_stops = planned_stops.getValue();
+  out.long_pauses = long_pauses.getValue();
+  out.only = only.getValue();
   out.seed = seed.getValue();
   out.length = std::chrono::duration_cast<std::chrono::seconds>(
       std::chrono::duration<double, std::ratio<60>>(minutes.getValue()));
@@ -212,6 +232,8 @@
   out.system.entries = processes.getValue();
   out.system.daemon = daemon.getValue();
   out.system.directory = directory.getValue() + '/' + std::to_string(out.seed);
+  out.system.stop_grace = std::chrono::seconds(
+      grace.isSet() || !out.planned_stops ? grace.getValue() : 8);
   return out;
 }
 
@@ -222,6 +244,11 @@
   try {
     const auto options = mimosadeck::soak::ReadCommandLine(count, arguments);
     std::cout << "seed: " << options.seed << std::endl;
+    if (options.planned_stops) {
+      return mimosadeck::soak::RunPlannedStops(
+          {options.seed, options.length, options.callers, options.checks.timed,
+           options.long_pauses, options.only, options.system});
+    }
     mimosadeck::soak::soak_run run(options);
     return run.Run();
   } catch (const std::exception& failure) {
