Do not end a silent stream that no attempt is left to continue

Cause: the stall time, after which a stream is resumed elsewhere, also ended the last attempt that its route allows, which nothing can follow. The class: a time-out whose only purpose, another attempt, is not available.

Now the last attempt has no stall time; the route's and the caller's time limits end it. edge_test, silent_upstreams, on the daemon before: incomplete after the second stall; after: whole.

Remains: a stream whose retry budget is spent, or that no other upstream can continue, still ends at the stall time.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -306,7 +306,8 @@
   }
 
   void RestartStallTimeout() {
-    if (const auto stall = forwarding::StallTimeout(*context_->route)) {
+    if (const auto stall =
+            forwarding::StallTimeout(context_->progress, *context_->route)) {
       call_.SetDeadline(std::min(context_->deadline, steady::now() + *stall));
     }
   }
--- a/src/forwarding/forwarding.cc
+++ b/src/forwarding/forwarding.cc
@@ -48,8 +48,11 @@
 }
 
 std::optional<std::chrono::milliseconds> StallTimeout(
+    const progress& state,
     const routing::route& route) {
-  if (route.kind != routing::request_kind::stream || !route.resumable) {
+  const bool is_last_attempt = state.possible_runs + 1 >= route.max_attempts;
+  if (route.kind != routing::request_kind::stream || !route.resumable ||
+      is_last_attempt) {
     return std::nullopt;
   }
   const auto pause = route.pause_goal.value_or(std::chrono::milliseconds(0));
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -66,10 +66,12 @@
  * Callers abandon a stream after this time. Bytes that do not complete an event
  * do not restart it.
  *
- * @return Nothing if the stream cannot be resumed; then only the timeout of the
- * route ends a silent stream.
+ * @param state Attempts that have ended, without the one in progress.
+ * @return Nothing if the stream cannot be resumed or this is its last attempt;
+ * then only the timeout of the route ends a silent stream.
  */
 [[nodiscard]] std::optional<std::chrono::milliseconds> StallTimeout(
+    const progress& state,
     const routing::route& route);
 
 /**
--- a/test/forwarding/forwarding_test.cc
+++ b/test/forwarding/forwarding_test.cc
@@ -38,18 +38,27 @@
 BOOST_AUTO_TEST_CASE(resumable_stream_stalls_when_its_callers_give_up) {
   auto route = MakeRoute(request_kind::stream, true, 2);
   route.goal = 300ms;
-  BOOST_TEST((forwarding::StallTimeout(route) == 2000ms));
+  BOOST_TEST((forwarding::StallTimeout({}, route) == 2000ms));
   route.pause_goal = 400ms;
-  BOOST_TEST((forwarding::StallTimeout(route) == 3200ms));
+  BOOST_TEST((forwarding::StallTimeout({}, route) == 3200ms));
   route.goal = 1500ms;
-  BOOST_TEST((forwarding::StallTimeout(route) == 6000ms));
+  BOOST_TEST((forwarding::StallTimeout({}, route) == 6000ms));
 }
 
 BOOST_AUTO_TEST_CASE(request_that_cannot_resume_has_no_stall_timeout) {
   BOOST_TEST(
-      !forwarding::StallTimeout(MakeRoute(request_kind::stream, false, 1)));
-  BOOST_TEST(
-      !forwarding::StallTimeout(MakeRoute(request_kind::idempotent, true, 2)));
+      !forwarding::StallTimeout({}, MakeRoute(request_kind::stream, false, 1)));
+  BOOST_TEST(!forwarding::StallTimeout(
+      {}, MakeRoute(request_kind::idempotent, true, 2)));
+}
+
+// Guards against ending a silent stream that no attempt is left to continue.
+BOOST_AUTO_TEST_CASE(last_attempt_has_no_stall_timeout) {
+  forwarding::progress state;
+  const auto route = MakeRoute(request_kind::stream, true, 2);
+  BOOST_TEST(forwarding::StallTimeout(state, route).has_value());
+  state.possible_runs = 1;
+  BOOST_TEST(!forwarding::StallTimeout(state, route));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -293,6 +293,34 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** Longer than a stream whose upstreams pause for longer than callers wait. */
+constexpr auto kSilentStreamLimit = 15s;
+
+struct entry_with_long_timeouts : one_entry {
+  entry_with_long_timeouts()
+      : one_entry({4s, ManifestWithTimeout(kSilentStreamLimit)}) {
+    call_timeout = kSilentStreamLimit;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(silent_upstreams, entry_with_long_timeouts)
+
+// Guards against ending a resumable stream because its upstream is silent when
+// no attempt is left that could continue it.
+BOOST_AUTO_TEST_CASE(silent_stream_on_its_last_attempt_is_not_cut_off) {
+  first.slow_pause = second.slow_pause = 2100ms;
+  SetAnswers(answer::slow_stream);
+  auto request = Request("/resume/x");
+  request.fields["x-request-deadline-ms"] =
+      std::to_string(std::chrono::milliseconds(kSilentStreamLimit).count());
+  const auto got = Send(callers, request);
+  BOOST_TEST(got.complete);
+  BOOST_TEST(got.body == WholeStream(LastId()));
+  BOOST_TEST(RunCount() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(changes, one_entry)
 
 BOOST_AUTO_TEST_CASE(withdrawn_key_stops_working) {
--- a/test/system/one_entry.h
+++ b/test/system/one_entry.h
@@ -60,6 +60,15 @@
                    {"tenants", {{{"name", "parish"}, {"api_keys", {key}}}}}});
 }
 
+/** @brief Returns Manifest() with another timeout of its routes. */
+inline std::string ManifestWithTimeout(std::chrono::milliseconds timeout) {
+  auto out = json::parse(Manifest(1, "k1")).as_object();
+  for (auto& route : out["routes"].as_array()) {
+    route.as_object()["timeout_ms"] = timeout.count();
+  }
+  return json::serialize(out);
+}
+
 /** @brief Returns Manifest() with the given number of additional routes. */
 inline std::string LargeManifest(int version,
                                  const std::string& key,
--- a/test/system/planned_stop_system_test.cc
+++ b/test/system/planned_stop_system_test.cc
@@ -29,16 +29,6 @@
 constexpr auto kLongStream = 6s;
 constexpr auto kRequestPause = 100ms;
 
-/** @brief Returns Manifest() with a long time limit for streams. */
-std::string ManifestOfLongStreams() {
-  auto out = json::parse(Manifest(1, "k1")).as_object();
-  for (auto& route : out["routes"].as_array()) {
-    route.as_object()["timeout_ms"] =
-        std::chrono::milliseconds(kStreamLimit).count();
-  }
-  return json::serialize(out);
-}
-
 /** @brief A stream of a caller, as far as it was received. */
 struct received_stream {
   std::string id;
@@ -53,7 +43,8 @@
   std::deque<received_stream> streams;
   steady::time_point stop_sent_at;
 
-  stopping_entry() : one_entry({kStopGrace, ManifestOfLongStreams()}) {
+  stopping_entry()
+      : one_entry({kStopGrace, ManifestWithTimeout(kStreamLimit)}) {
     call_timeout = kStreamLimit;
   }
 
