Announce the end of connections in a planned stop of the own interface

Callers that keep a connection open got no answer to the request that followed their last answer: the connection closed without notice once the listener stopped. On their side this looks like a request that was cut.

Cause: Stop() of the own interface never asked the server to close connections after responses, so that each answer promised an open connection until StopAccepting(), which ends the loop of a connection right after a response.

With the call, answers carry `Connection: close` from the start of the stop, for the whole time to live of the entry list, and callers open the next connection elsewhere.

--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -158,6 +158,7 @@
   asio::awaitable<void> Stop() {
     telemetry::Log(telemetry::level::info, "stop_began", {});
     fleet_.Leave();
+    caller_server_->CloseAfterResponses();
     co_await Sleep(settings_.entries_time_to_live);
     caller_server_->StopAccepting();
     while (caller_server_->ActiveExchanges() > 0) {
--- /dev/null
+++ b/test/system/planned_stop_test.cc
@@ -0,0 +1,188 @@
+#define BOOST_TEST_MODULE planned_stop
+#include <boost/test/included/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "base/base.h"
+#include "net/address.h"
+#include "system/deployment.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using mimosadeck::system_test::answer;
+using mimosadeck::system_test::deployment;
+using mimosadeck::system_test::Eventually;
+using std::chrono::steady_clock;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+namespace net = mimosadeck::net;
+
+/** Longest stop without requests: the entry list's time to live, then the
+ * limits for handing over bookings and leases. */
+constexpr auto kStopLimit = 2s + 15s + 5s;
+constexpr int kFullTime = 8;
+
+/** @brief Returns the text that an engine produces for a prompt. */
+std::string ExpectedText(const std::string& prompt, int tokens) {
+  const auto seed = json::serialize(
+      json::array{json::object{{"role", "user"}, {"content", prompt}}});
+  std::string out;
+  for (int i = 0; i < tokens; ++i) {
+    out += mimosadeck::Sha256Hex(seed + std::to_string(i)).substr(0, 6) + " ";
+  }
+  return out;
+}
+
+bool IsWhole(const answer& got, const std::string& prompt, int tokens) {
+  return !got.failed && got.status == 200 &&
+         json::value_to<std::string>(
+             got.Json().at("choices").at(0).at("message").at("content")) ==
+             ExpectedText(prompt, tokens);
+}
+
+std::string Describe(const answer& got) {
+  return got.failed
+             ? "no answer"
+             : std::to_string(got.status) + " " + got.body.substr(0, 160);
+}
+
+std::string ChatBody(const std::string& prompt, int tokens) {
+  return json::serialize(json::object{
+      {"model", "notes-small"},
+      {"max_tokens", tokens},
+      {"messages",
+       json::array{json::object{{"role", "user"}, {"content", prompt}}}}});
+}
+
+/** @brief A caller's connection, which is used for several requests. */
+class open_connection {
+ public:
+  explicit open_connection(const std::string& address) {
+    socket_.connect(net::ParseEndpoint(address));
+    timeval limit{kReadLimitSeconds, 0};
+    setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit,
+               sizeof(limit));
+  }
+
+  /** @brief Sends a part of a request. @return False if it failed. */
+  [[nodiscard]] bool Send(const std::string& bytes) {
+    boost::system::error_code failure;
+    asio::write(socket_, asio::buffer(bytes), failure);
+    return !failure;
+  }
+
+  /** @brief Receives a response. */
+  [[nodiscard]] answer Receive() {
+    http::response<http::string_body> in;
+    boost::system::error_code failure;
+    http::read(socket_, buffer_, in, failure);
+    answer out;
+    out.failed = failure.failed();
+    out.status = static_cast<int>(in.result_int());
+    out.body = in.body();
+    keeps_open = !out.failed && in.keep_alive();
+    return out;
+  }
+
+  /** The last response did not announce the connection's end. */
+  bool keeps_open{true};
+
+ private:
+  static constexpr int kReadLimitSeconds = 30;
+
+  asio::io_context io_;
+  asio::ip::tcp::socket socket_{io_};
+  beast::flat_buffer buffer_;
+};
+
+std::string ChatHead(const std::string& key, std::size_t body_size) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+         "Authorization: Bearer " +
+         key + "\r\nX-Request-Class: draft\r\nContent-Length: " +
+         std::to_string(body_size) + "\r\n\r\n";
+}
+
+struct running_deployment {
+  deployment fleet;
+  std::string key = fleet.IssueKey("saint-louis");
+  std::string entry = fleet.Entries().front();
+
+  std::future<answer> ChatAsync(const std::string& at,
+                                int tokens,
+                                const std::string& prompt) {
+    return std::async(std::launch::async, [=, this] {
+      return fleet.Chat(at, key, tokens, prompt, "draft");
+    });
+  }
+
+  std::future<answer> BookAsync(const std::string& at,
+                                const std::string& name) {
+    return std::async(std::launch::async,
+                      [=, this] { return fleet.Book(at, key, name, name); });
+  }
+
+  void SetServices(const std::string& message) {
+    for (const std::string data_centre : {"dakar-a", "dakar-b", "dakar-c"}) {
+      fleet.ControlUpstream("seats-" + data_centre, message);
+    }
+  }
+
+  /** @brief Expects an entry to end by itself, with the status of success. */
+  void ExpectEnd(const std::string& id, steady_clock::duration limit) {
+    const bool ended =
+        Eventually(std::chrono::duration_cast<std::chrono::milliseconds>(limit),
+                   [&] { return !fleet.EntryProcess(id).IsRunning(); });
+    BOOST_TEST_REQUIRE(ended, id << " still runs");
+    BOOST_TEST(fleet.EntryProcess(id).Wait() == 0);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(planned_stop, running_deployment)
+
+// Guards against connections that close without notice after an answer, so that
+// the caller's next request on them is lost.
+BOOST_AUTO_TEST_CASE(callers_on_open_connections_are_told_before_they_close) {
+  constexpr int kCallers = 6;
+  constexpr int kTokens = 5;
+  std::vector<std::future<std::string>> pending;
+  const auto began = steady_clock::now();
+  for (int i = 0; i < kCallers; ++i) {
+    pending.push_back(std::async(std::launch::async, [=, this] {
+      open_connection connection(fleet.CallerAddress(entry));
+      for (int j = 0; connection.keeps_open; ++j) {
+        const auto body = ChatBody(
+            "open " + std::to_string(i) + "/" + std::to_string(j), kTokens);
+        const bool sent = connection.Send(ChatHead(key, body.size()) + body);
+        const auto got = connection.Receive();
+        if (!sent || got.failed) {
+          return "request " + std::to_string(j) + " got no answer";
+        }
+        if (steady_clock::now() - began > 1s + kStopLimit) {
+          return std::string("the connection is never closed");
+        }
+      }
+      return std::string();
+    }));
+  }
+  std::this_thread::sleep_until(began + 1s);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  for (auto& one : pending) {
+    const auto problem = one.get();
+    BOOST_TEST(problem.empty(), problem);
+  }
+  ExpectEnd(entry, kStopLimit);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
