Do not take the first signal after a drain command for a second one

An entry that an operator drains and that the machine's supervisor then stops with SIGTERM cut every request in progress and gave up its hand-over.

Cause: the signal handler took any signal during a planned stop for the second one, which stops at once, but `drain` on the operator interface begins the same stop without a signal.

The handler now counts signals instead of reading the state of the stop.

--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -138,11 +138,12 @@
       if (failure) {
         return;
       }
-      if (state_.draining) {
+      if (signalled_) {
         telemetry::Log(telemetry::level::warning, "stopped_at_once", {});
         control_io_.stop();
         return;
       }
+      signalled_ = true;
       BeginStop();
       WaitForSignal();
     });
@@ -189,6 +190,8 @@
   caller_handler callers_;
   operator_handler operators_;
   asio::signal_set signals_;
+  /** A signal was received; the next one stops at once. */
+  bool signalled_{};
   std::unique_ptr<net::http_server> caller_server_;
   std::unique_ptr<net::http_server> operator_server_;
 };
--- a/test/system/planned_stop_test.cc
+++ b/test/system/planned_stop_test.cc
@@ -183,6 +183,19 @@
   ExpectEnd(entry, kStopLimit);
 }
 
+// Guards against a signal that follows a drain command being taken for a second
+// signal, which ends the process at once.
+BOOST_AUTO_TEST_CASE(signal_after_drain_command_cuts_no_request) {
+  auto stream = ChatAsync(entry, 500, "drained");
+  std::this_thread::sleep_for(300ms);
+  BOOST_TEST(fleet.CallOperator(entry, "POST", "/admin/v1/drain").status < 300);
+  std::this_thread::sleep_for(300ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  const auto got = stream.get();
+  BOOST_TEST(IsWhole(got, "drained", 500), Describe(got));
+  ExpectEnd(entry, kStopLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
