End without a crash when a second signal cuts requests off

An entry of the own interface that ended with requests in progress crashed after its event loops had ended, so that its exit status was that of a crash.

Cause: the destructor of the daemon destroys its event loops one after the other, while the server keeps connections of every traffic thread in one map. The last suspended coroutine that goes frees that map, and with it sockets of a loop that is already gone. Seen in gdb: ~entry_daemon, ~io_context, http_server::impl::~impl, then the destructor of a connection.

Before the fix (planned_stop_test, eight streams and eight half-sent requests, two runs of two): second_signal_with_requests_in_progress_exits_with_success: check fleet.EntryProcess(id).Wait() == 0 has failed [-11 != 0] With streams alone it did not show in six runs, so the test has both.

The process ends right after Run(), so the daemon is no longer destroyed.

Ruled out beside it: a booking that the second signal cuts off is not run again, and is never told as not run (second_signal_ends_at_once...).

--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -251,8 +251,10 @@
     return kExitBadSettings;
   }
   telemetry::StartLogging(file.daemon.id);
-  entry_daemon daemon(file.daemon);
-  return daemon.Run();
+  // Not destroyed: after a second signal, suspended coroutines of one context
+  // still refer to objects of another one.
+  auto* daemon = std::make_unique<entry_daemon>(file.daemon).release();
+  return daemon->Run();
 }
 
 }  // namespace
--- a/test/system/planned_stop_test.cc
+++ b/test/system/planned_stop_test.cc
@@ -196,6 +196,53 @@
   ExpectEnd(entry, kStopLimit);
 }
 
+// Guards against a booking that a second signal cuts off being run twice or
+// reported as not run.
+BOOST_AUTO_TEST_CASE(second_signal_ends_at_once_and_booking_is_not_run_again) {
+  SetServices(R"({"work_ms":3000})");
+  auto booking = BookAsync(entry, "twice told");
+  const bool running =
+      Eventually(5s, [&] { return fleet.CountRuns("twice told") == 1; });
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  std::this_thread::sleep_for(300ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  ExpectEnd(entry, 1s);
+  const auto got = booking.get();
+  BOOST_TEST((got.failed || got.Executed() == "unknown"), Describe(got));
+  const auto again =
+      fleet.Book(fleet.Entries().back(), key, "twice told", "twice told");
+  BOOST_TEST((again.status == 200 || again.Executed() == "unknown"),
+             Describe(again));
+  BOOST_TEST(running);
+  BOOST_TEST(fleet.CountRuns("twice told") == 1);
+}
+
+// Guards against a crash when the process exits with requests in progress on
+// several threads.
+BOOST_AUTO_TEST_CASE(
+    second_signal_with_requests_in_progress_exits_with_success) {
+  constexpr int kCallers = 8;
+  std::vector<std::future<answer>> pending;
+  for (int i = 0; i < kCallers; ++i) {
+    pending.push_back(ChatAsync(entry, 500, "cut " + std::to_string(i)));
+  }
+  const auto body = ChatBody("half sent", 1);
+  std::vector<std::unique_ptr<open_connection>> half_sent;
+  for (int i = 0; i < kCallers; ++i) {
+    half_sent.push_back(
+        std::make_unique<open_connection>(fleet.CallerAddress(entry)));
+    BOOST_TEST(half_sent.back()->Send(ChatHead(key, body.size()) + "{"));
+  }
+  std::this_thread::sleep_for(500ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  std::this_thread::sleep_for(2300ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  ExpectEnd(entry, 1s);
+  for (auto& one : pending) {
+    BOOST_TEST(one.get().failed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
