Serve accepted requests when all entries leave at the same time

Requests that arrived within the time to live of the entry list, or needed another upstream, got no slot once every entry had begun a planned stop: bookings were refused with owner_unreachable, drafts waited for their whole queue time (60 s) with the stop behind them.

Cause: pools are owned by entries that are not leaving. With none left, the owner was empty and each grant request was sent to nobody.

If all entries are leaving, those that have not left own the pools. The owner is looked up anew at each repeat of a grant request, so the duty moves on as they end.

--- a/apps/mimosadeckd/pools.cc
+++ b/apps/mimosadeckd/pools.cc
@@ -25,6 +25,24 @@
   return item.pool + kPoolSeparator + item.data_centre;
 }
 
+/**
+ * @brief Lists the entries that may own pools: if all are leaving, those that
+ * have not left yet, since requests in progress still need upstreams.
+ */
+std::vector<ownership::candidate> PoolOwnerCandidates(
+    const control_state& state) {
+  auto out = OwnerCandidates(state);
+  if (!out.empty()) {
+    return out;
+  }
+  for (const auto& [id, member] : state.view.members) {
+    if (member.leaving && member.state == membership::member_state::alive) {
+      out.push_back({id, member.data_centre});
+    }
+  }
+  return out;
+}
+
 std::string DataCentreOf(const std::string& pool) {
   return pool.substr(pool.find(kPoolSeparator) + 1);
 }
@@ -178,7 +196,7 @@
     order.push_back(item);
   }
   dispatch::OrderPools(order, internal::kCrossDataCentreCost);
-  const auto candidates = OwnerCandidates(state_);
+  const auto candidates = internal::PoolOwnerCandidates(state_);
   std::vector<pool_owner> out;
   for (const auto& item : order) {
     const auto data_centre = internal::DataCentreOf(item.pool);
@@ -276,7 +294,7 @@
       peers_.Notify(target.owner, std::move(message));
     }
     outcome = co_await answer->Wait(internal::kRequestRetryInterval);
-    const auto candidates = OwnerCandidates(state_);
+    const auto candidates = internal::PoolOwnerCandidates(state_);
     target.owner =
         ownership::OwnerNear(target.pool, target.data_centre, candidates);
   }
@@ -485,7 +503,7 @@
     for (const auto& [id, unused] : state_.view.members) {
       messages[id].mutable_grants_in_use();
     }
-    const auto candidates = OwnerCandidates(state_);
+    const auto candidates = internal::PoolOwnerCandidates(state_);
     for (auto& [request, held] : held_) {
       held.owner = ownership::OwnerNear(
           held.pool, internal::DataCentreOf(held.pool), candidates);
--- a/test/system/planned_stop_test.cc
+++ b/test/system/planned_stop_test.cc
@@ -243,6 +243,55 @@
   }
 }
 
+void ExpectStopsCutNothing(running_deployment& self,
+                           const std::vector<std::string>& stopped,
+                           steady_clock::duration between) {
+  constexpr int kTokens = 400;
+  self.SetServices(R"({"work_ms":1500})");
+  std::vector<std::future<answer>> streams;
+  std::vector<std::future<answer>> bookings;
+  const auto names = [](const std::string& id, int i) {
+    return id + " seat " + std::to_string(i);
+  };
+  for (const auto& id : stopped) {
+    streams.push_back(self.ChatAsync(id, kTokens, "early at " + id));
+    bookings.push_back(self.BookAsync(id, names(id, 0)));
+  }
+  std::this_thread::sleep_for(400ms);
+  const auto began = steady_clock::now();
+  for (const auto& id : stopped) {
+    self.fleet.EntryProcess(id).Signal(SIGTERM);
+    std::this_thread::sleep_for(between);
+  }
+  std::this_thread::sleep_until(began + 1500ms);
+  for (const auto& id : stopped) {
+    streams.push_back(self.ChatAsync(id, kTokens, "late at " + id));
+    bookings.push_back(self.BookAsync(id, names(id, 1)));
+  }
+  for (std::size_t i = 0; i < streams.size(); ++i) {
+    const auto got = streams[i].get();
+    const auto prompt = (i < stopped.size() ? "early at " : "late at ") +
+                        stopped[i % stopped.size()];
+    BOOST_TEST(IsWhole(got, prompt, kTokens), prompt << ": " << Describe(got));
+  }
+  for (std::size_t i = 0; i < bookings.size(); ++i) {
+    const auto got = bookings[i].get();
+    const auto& at = stopped[i % stopped.size()];
+    const auto name = names(at, i < stopped.size() ? 0 : 1);
+    BOOST_TEST(got.status == 200, name << ": " << Describe(got));
+    BOOST_TEST(self.fleet.CountRuns(name) == 1, name);
+  }
+  for (const auto& id : stopped) {
+    self.ExpectEnd(id, kStopLimit);
+  }
+}
+
+// Guards against requests that are refused because no entry is left that may
+// own the pools of upstreams.
+BOOST_AUTO_TEST_CASE(all_entries_stopped_at_once_cut_no_request) {
+  ExpectStopsCutNothing(*this, fleet.Entries(), 0ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
