Drain the own interface's server before duties are handed over

A request whose body was still arriving when the listener stopped was read, started and then cut without an answer, because the process ended.

Cause: the stop counted the requests in progress once, right after it had asked the server to stop accepting. Requests that are being received were not counted, and a connection on another thread could start one after the count.

The stop now calls Drain(), which handles no request after it returns, and repeats it while any is in progress: there is still no limit on how long requests may run.

--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -27,7 +27,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitBadSettings = 2;
 constexpr unsigned kIncarnationRandomBits = 16;
-constexpr std::chrono::milliseconds kDrainPollInterval{50};
+/** Longest single wait for requests in progress, which a stop repeats; longer
+ * than a request may take to arrive. */
+constexpr std::chrono::minutes kDrainStep{1};
 
 std::uint64_t MakeIncarnationNumber(std::mt19937_64& random) {
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -161,9 +163,9 @@
     fleet_.Leave();
     caller_server_->CloseAfterResponses();
     co_await Sleep(settings_.entries_time_to_live);
-    caller_server_->StopAccepting();
-    while (caller_server_->ActiveExchanges() > 0) {
-      co_await Sleep(kDrainPollInterval);
+    std::size_t in_progress = 1;
+    while (in_progress > 0) {
+      in_progress = co_await caller_server_->Drain(kDrainStep);
     }
     co_await bookings_.HandOver();
     co_await leases_.HandOver();
--- a/test/system/planned_stop_test.cc
+++ b/test/system/planned_stop_test.cc
@@ -149,6 +149,39 @@
 
 BOOST_FIXTURE_TEST_SUITE(planned_stop, running_deployment)
 
+// Guards against requests that are still arriving when the listener stops and
+// are read, but end without an answer because the process exits.
+BOOST_AUTO_TEST_CASE(request_arriving_as_listener_stops_is_answered) {
+  constexpr int kCallers = 12;
+  constexpr int kTokens = 150;
+  const auto began = steady_clock::now();
+  std::vector<std::future<answer>> pending;
+  for (int i = 0; i < kCallers; ++i) {
+    pending.push_back(std::async(std::launch::async, [=, this] {
+      const auto body = ChatBody("late " + std::to_string(i), kTokens);
+      open_connection connection(fleet.CallerAddress(entry));
+      const bool head_sent = connection.Send(ChatHead(key, body.size()) +
+                                             body.substr(0, body.size() / 2));
+      std::this_thread::sleep_until(began + 500ms + 2020ms + i * 30ms);
+      const bool rest_sent = connection.Send(body.substr(body.size() / 2));
+      auto got = connection.Receive();
+      got.failed |= !head_sent || !rest_sent;
+      return got;
+    }));
+  }
+  std::this_thread::sleep_until(began + 500ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  for (int i = 0; i < kCallers; ++i) {
+    const auto got = pending[static_cast<std::size_t>(i)].get();
+    BOOST_TEST(!got.failed, i << ": " << Describe(got));
+    const bool whole_or_refused =
+        IsWhole(got, "late " + std::to_string(i), kTokens) ||
+        got.Executed() == "no";
+    BOOST_TEST(whole_or_refused, i << ": " << Describe(got));
+  }
+  ExpectEnd(entry, kStopLimit);
+}
+
 // Guards against connections that close without notice after an answer, so that
 // the caller's next request on them is lost.
 BOOST_AUTO_TEST_CASE(callers_on_open_connections_are_told_before_they_close) {
@@ -183,6 +216,20 @@
   ExpectEnd(entry, kStopLimit);
 }
 
+// Guards against an answer to a request read before the stop that promises an
+// open connection and is followed by its end.
+BOOST_AUTO_TEST_CASE(answer_in_stop_to_earlier_request_announces_the_close) {
+  constexpr int kTokens = 100;
+  const auto body = ChatBody("read before", kTokens);
+  open_connection connection(fleet.CallerAddress(entry));
+  BOOST_TEST(connection.Send(ChatHead(key, body.size()) + body));
+  std::this_thread::sleep_for(300ms);
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  const auto got = connection.Receive();
+  BOOST_TEST(IsWhole(got, "read before", kTokens), Describe(got));
+  BOOST_TEST(!connection.keeps_open);
+}
+
 // Guards against a signal that follows a drain command being taken for a second
 // signal, which ends the process at once.
 BOOST_AUTO_TEST_CASE(signal_after_drain_command_cuts_no_request) {
