Test that stops of two entries and late long streams cut no request

Ruled out on the own interface: two entries stopped at once or 0.7 s apart, each with a stream and a booking in progress and accepted late; a stream of 8 s that is accepted 1.7 s into the stop (it has no limit, so the stream ends whole); a signal just after the start, which ends by itself within the limits of the hand-over.

--- a/test/system/planned_stop_test.cc
+++ b/test/system/planned_stop_test.cc
@@ -290,6 +290,22 @@
   }
 }
 
+// Guards against a stop that never ends because the entry has not joined yet.
+BOOST_AUTO_TEST_CASE(signal_just_after_start_entry_ends_by_itself) {
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  ExpectEnd(entry, kStopLimit);
+  for (int i = 0; i < 3; ++i) {
+    fleet.StartEntry(entry, "dakar-a");
+    std::this_thread::sleep_for(i * 100ms);
+    fleet.EntryProcess(entry).Signal(SIGTERM);
+    ExpectEnd(entry, kStopLimit);
+  }
+  fleet.StartEntry(entry, "dakar-a");
+  const bool serves = Eventually(
+      10s, [&] { return fleet.Chat(entry, key, 5, "again").status == 200; });
+  BOOST_TEST(serves);
+}
+
 void ExpectStopsCutNothing(running_deployment& self,
                            const std::vector<std::string>& stopped,
                            steady_clock::duration between) {
@@ -333,12 +349,35 @@
   }
 }
 
+// Guards against a stop that cuts requests because another entry, which held
+// their slots or bookings, stops too.
+BOOST_AUTO_TEST_CASE(two_entries_stopped_at_once_cut_no_request) {
+  ExpectStopsCutNothing(*this, {fleet.Entries()[0], fleet.Entries()[1]}, 0ms);
+}
+
+BOOST_AUTO_TEST_CASE(two_entries_stopped_one_after_the_other_cut_no_request) {
+  ExpectStopsCutNothing(*this, {fleet.Entries()[0], fleet.Entries()[1]}, 700ms);
+}
+
 // Guards against requests that are refused because no entry is left that may
 // own the pools of upstreams.
 BOOST_AUTO_TEST_CASE(all_entries_stopped_at_once_cut_no_request) {
   ExpectStopsCutNothing(*this, fleet.Entries(), 0ms);
 }
 
+// Guards against a stop that ends before a stream accepted late in it.
+BOOST_AUTO_TEST_CASE(long_stream_accepted_late_in_stop_is_whole) {
+  constexpr int kTokens = kFullTime * 100;
+  const auto began = steady_clock::now();
+  fleet.EntryProcess(entry).Signal(SIGTERM);
+  std::this_thread::sleep_until(began + 1700ms);
+  auto stream = ChatAsync(entry, kTokens, "long and late");
+  const auto got = stream.get();
+  BOOST_TEST(IsWhole(got, "long and late", kTokens), Describe(got));
+  BOOST_TEST((steady_clock::now() - began >= std::chrono::seconds(kFullTime)));
+  ExpectEnd(entry, kStopLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
