--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -27,7 +27,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitBadSettings = 2;
 constexpr unsigned kIncarnationRandomBits = 16;
-constexpr std::chrono::milliseconds kDrainPollInterval{50};
+/** Longest single wait for requests in progress, which a stop repeats; longer
+ * than a request may take to arrive. */
+constexpr std::chrono::minutes kDrainStep{1};
 
 std::uint64_t MakeIncarnationNumber(std::mt19937_64& random) {
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -138,11 +140,12 @@
       if (failure) {
         return;
       }
-      if (state_.draining) {
+      if (signalled_) {
         telemetry::Log(telemetry::level::warning, "stopped_at_once", {});
         control_io_.stop();
         return;
       }
+      signalled_ = true;
       BeginStop();
       WaitForSignal();
     });
@@ -158,10 +161,11 @@
   asio::awaitable<void> Stop() {
     telemetry::Log(telemetry::level::info, "stop_began", {});
     fleet_.Leave();
+    caller_server_->CloseAfterResponses();
     co_await Sleep(settings_.entries_time_to_live);
-    caller_server_->StopAccepting();
-    while (caller_server_->ActiveExchanges() > 0) {
-      co_await Sleep(kDrainPollInterval);
+    std::size_t in_progress = 1;
+    while (in_progress > 0) {
+      in_progress = co_await caller_server_->Drain(kDrainStep);
     }
     co_await bookings_.HandOver();
     co_await leases_.HandOver();
@@ -188,6 +192,8 @@
   caller_handler callers_;
   operator_handler operators_;
   asio::signal_set signals_;
+  /** A signal was received; the next one stops at once. */
+  bool signalled_{};
   std::unique_ptr<net::http_server> caller_server_;
   std::unique_ptr<net::http_server> operator_server_;
 };
@@ -247,8 +253,10 @@
     return kExitBadSettings;
   }
   telemetry::StartLogging(file.daemon.id);
-  entry_daemon daemon(file.daemon);
-  return daemon.Run();
+  // Not destroyed: after a second signal, suspended coroutines of one context
+  // still refer to objects of another one.
+  auto* daemon = std::make_unique<entry_daemon>(file.daemon).release();
+  return daemon->Run();
 }
 
 }  // namespace
