Test a refusal written between the head and the body of an answer

This test fails on the current code; the fault is not fixed: refusal_inside_an_answer_with_a_length_is_detected: check got.body == WholeBody(ran_id, got.fields.at("x-server-stamp")) has failed [HTTP/1.1 503 Service Una != answer to id-10 by raw/1]

A caller gets status 200 with the bytes of the refusal as its body, cut to the answer's length. The request ran once and no status says otherwise. The framing of an answer with a length cannot show the foreign bytes; those left over after the body look like bytes after a complete answer, which are allowed to occur. In a chunked answer the fault is found, and repeated_refusal_never_answers_another_request covers that.

--- a/test/system/repeated_refusal_system_test.cc
+++ b/test/system/repeated_refusal_system_test.cc
@@ -53,6 +53,7 @@
   std::string fields{};
   int copies{1};
   bool is_cut{};
+  bool inside_length{};
 };
 
 std::string UpperCase(std::string text) {
@@ -279,7 +280,8 @@
       }
       ran_id = request.id;
       const auto real =
-          AnswerTo(request, is_stream, when == moment::inside_answer);
+          AnswerTo(request, is_stream,
+                   when == moment::inside_answer && !form.inside_length);
       auto stray = Writes(form, earlier, request.id);
       switch (when) {
         case moment::running:
@@ -418,6 +420,11 @@
   RunAllMoments("/unsafe/", {.is_cut = true});
 }
 
+// Guards against a refusal that is passed on inside the body of an answer.
+BOOST_AUTO_TEST_CASE(refusal_inside_an_answer_with_a_length_is_detected) {
+  RunAfterRefusal("/safe/", moment::inside_answer, {.inside_length = true});
+}
+
 // Guards against a request that goes on at an upstream after its caller, or a
 // second upstream, was told that it was not run.
 BOOST_AUTO_TEST_CASE(connection_with_an_unnamed_refusal_is_closed) {
