--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -199,12 +199,16 @@
       co_return std::nullopt;
     }
     connection = std::make_shared<internal::connection>(executor);
+    const auto endpoint = ReadEndpoint(options.address);
+    if (!endpoint) {
+      co_return call_failure{call_progress::not_sent, false,
+                             "not an address of the form IP:PORT"};
+    }
     const auto now = steady::now();
     connection->stream.expires_at(
         std::min(options.deadline, now + options.connect_timeout));
     error_code failure;
-    const auto endpoint = ParseEndpoint(options.address);
-    co_await connection->stream.async_connect(endpoint,
+    co_await connection->stream.async_connect(*endpoint,
                                               internal::Redirect(failure));
     if (failure || is_closed) {
       co_return internal::Failure(call_progress::not_sent, failure);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -66,9 +66,13 @@
 asio::awaitable<error_code> Connect(beast::tcp_stream& stream,
                                     const std::string& address,
                                     std::chrono::milliseconds timeout) {
+  const auto endpoint = ReadEndpoint(address);
+  if (!endpoint) {
+    co_return asio::error::invalid_argument;
+  }
   error_code failure;
   stream.expires_after(timeout);
-  co_await stream.async_connect(ParseEndpoint(address), Redirect(failure));
+  co_await stream.async_connect(*endpoint, Redirect(failure));
   if (!failure) {
     error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
--- a/src/net/listener_probe.cc
+++ b/src/net/listener_probe.cc
@@ -15,12 +15,15 @@
 
 asio::awaitable<listener_state> ProbeListener(std::string address,
                                               probe_options options) {
+  const auto endpoint = ReadEndpoint(address);
+  if (!endpoint) {
+    co_return listener_state::unreachable;
+  }
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   boost::system::error_code failure;
   stream.expires_after(options.connect_timeout);
   co_await stream.async_connect(
-      ParseEndpoint(address),
-      asio::redirect_error(asio::use_awaitable, failure));
+      *endpoint, asio::redirect_error(asio::use_awaitable, failure));
   if (failure) {
     const bool is_refused = failure == asio::error::connection_refused ||
                             failure == asio::error::connection_reset;
