--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/included/unit_test.hpp>
 
 #include "platform/platform.h"
+#include "platform/store_codec.h"
 
 namespace {
 
@@ -127,6 +128,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(pages)
+
+// Guards against one key of another writer that makes all rows unreadable.
+BOOST_AUTO_TEST_CASE(key_that_is_no_text_leaves_other_rows_readable) {
+  for (const std::string key :
+       {"\xff\xfe", "cut \xe2\x82", "\\ud800", "\\udc00", "\\ud800\\ud800",
+        "\\uDBFFx", "\\\\\\uDfff", "\\ud83d\\ude00\\ude00"}) {
+    const auto page = platform::DecodePage(
+        R"({"ver":9,"rows":[{"key":")" + key +
+        R"(","value":"YQ==","ver":8},{"key":"\ud83d\ude00\\ud800",)"
+        R"("value":"Yg==","ver":9}]})");
+    BOOST_TEST_CONTEXT(key) {
+      BOOST_REQUIRE(page);
+      BOOST_REQUIRE(page->rows.size() == 2);
+      BOOST_TEST(page->rows[1].key == "\xf0\x9f\x98\x80\\ud800");
+      BOOST_TEST(page->rows[1].value == "b");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(response_that_is_no_page_is_unreadable) {
+  for (const std::string text :
+       {"", "{", "[]", "{}", R"({"ver":-1})", R"({"ver":1,"rows":[)", "\\ud800",
+        R"({"ver":1,"rows":[{"key":"\)", R"({"ver":1e400})"}) {
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_TEST(!platform::DecodePage(text));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(requests)
 
 BOOST_AUTO_TEST_CASE(caller_fields_are_decoded) {
--- a/test/system/odd_rows_system_test.cc
+++ b/test/system/odd_rows_system_test.cc
@@ -113,6 +113,8 @@
     return {{"", good},
             {std::string(kMaxKeyBytes + 1, 'i'), good},
             {std::string(kMegabyte, 'i'), good},
+            {"\xff\xfe", good},
+            {"cut \xe2\x82", good},
             {"line\r\nx-tenant: other", good},
             {std::string("zero\0byte", 9), good}};
   }
@@ -192,6 +194,12 @@
   CheckThatTheListIsFollowed();
 }
 
+// Guards against one odd id that makes all rows of the page unreadable.
+BOOST_AUTO_TEST_CASE(odd_ids_leave_changes_followed) {
+  Write(RowsWithOddIds());
+  CheckThatTheListIsFollowed();
+}
+
 // Guards against an entry that cannot start because of a row.
 BOOST_AUTO_TEST_CASE(odd_rows_leave_the_listing_readable) {
   Write(AllOddRows());
