Check the addresses of other entries when they arrive

An entry fell silent to all others after one odd `member/` row, or one odd address that another entry passed on: it sent no digests any more, and did nothing else of that loop (load of other entries, expiry of members, suspects and signs of upstreams), while it kept running and serving. Callers were told addresses at which no entry listens.

Cause: no address of an entry was checked. gossip::Send threw in the send loop, and a coroutine that was spawned with asio::detached ends without a word when it throws: that completion token drops the exception.

Evidence, before the fix: odd_member_rows_leave_the_entry_taking_part critical check HearsEntry() has failed odd_known_peers_leave_the_entry_taking_part check HearsEntry() has failed odd_caller_addresses_are_not_told_to_callers critical check told.size() == 1 has failed odd_datagrams_leave_the_entry_taking_part check HearsEntry() has failed With the check of copied upstreams taken out, odd_upstreams_in_a_copied_registry_are_not_used check Get(control, "/metrics").body.find("mimosadeck_upstreams{service= \"pool\"} 1\n") != std::string::npos has failed

Fix: peer_input.h holds the checks of what other entries send. Peers are added, members relayed and upstreams copied only with an address at which something can listen; other odd addresses of a record are cleared, and the directory leaves out an entry without an address for callers. Each is logged.

Passed before as well: odd relayed members and odd control addresses; an exception of a copying loop did not show there, since the store was followed.

--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/peer_input.h"
 #include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/upstream_signs.h"
 #include "net/address.h"
@@ -117,8 +118,9 @@
 
 void gossip::Start() {
   for (const auto& seed : state_.machine.seeds) {
-    AddPeer(internal::HostOf(seed) + ':' +
-            std::to_string(state_.machine.peer_port));
+    AddPeer(
+        internal::HostOf(seed) + ':' + std::to_string(state_.machine.peer_port),
+        "settings");
   }
   asio::co_spawn(state_.io, Receive(), asio::detached);
   asio::co_spawn(state_.io, SendLoop(), asio::detached);
@@ -129,7 +131,11 @@
   SendDigests(true);
 }
 
-void gossip::AddPeer(const std::string& address) {
+void gossip::AddPeer(const std::string& address, std::string_view origin) {
+  if (!net::IsRemoteEndpoint(address)) {
+    LogOddAddress(origin, "peer_address");
+    return;
+  }
   if (address != own_address_) {
     peers_.try_emplace(address, SuspendAwareNow());
   }
@@ -163,22 +169,26 @@
   if (received.has_digest()) {
     OnDigest(std::move(*received.mutable_digest()), sender);
   } else if (received.has_summary()) {
-    auto& summary = *received.mutable_summary();
-    for (const auto& suspect : summary.suspects()) {
-      OnSuspect(suspect, summary.relay());
-    }
-    for (const auto& upstream : summary.leaving_upstreams()) {
-      MarkLeaving(state_, upstream, summary.relay());
-    }
-    for (const auto& limit : summary.upstream_limits()) {
-      MergeUpstreamLimit(state_, limit, summary.relay());
-    }
-    for (const auto& member : summary.members()) {
-      AddPeer(member.peer_address());
-    }
-    fleet::OnSummary(state_.members, std::move(summary), state_.machine.name,
-                     LocalTime(state_), SuspendAwareNow());
+    OnSummary(std::move(*received.mutable_summary()));
+  }
+}
+
+void gossip::OnSummary(wire::summary received) {
+  DropOddMembers(received);
+  for (const auto& suspect : received.suspects()) {
+    OnSuspect(suspect, received.relay());
+  }
+  for (const auto& upstream : received.leaving_upstreams()) {
+    MarkLeaving(state_, upstream, received.relay());
+  }
+  for (const auto& limit : received.upstream_limits()) {
+    MergeUpstreamLimit(state_, limit, received.relay());
   }
+  for (const auto& member : received.members()) {
+    AddPeer(member.peer_address(), received.relay());
+  }
+  fleet::OnSummary(state_.members, std::move(received), state_.machine.name,
+                   LocalTime(state_), SuspendAwareNow());
 }
 
 void gossip::OnSuspect(const wire::suspect& report, std::string_view origin) {
@@ -206,8 +216,9 @@
   }
   const auto now = SuspendAwareNow();
   peers_[sender] = now;
+  ClearOddAddresses(received);
   for (const auto& address : received.known_peers()) {
-    AddPeer(address);
+    AddPeer(address, received.name());
   }
   const auto source = ProcessIdentity(received.name(), received.incarnation());
   for (const auto& window : received.windows()) {
@@ -273,11 +284,16 @@
 }
 
 void gossip::Send(const wire::datagram& content, const std::string& address) {
-  const auto target = net::ParseEndpoint(address);
+  const auto target = net::ReadRemoteEndpoint(address);
+  if (!target) {
+    state_.metrics.Count("mimosadeck_digests_unsent_total", "reason",
+                         "not an address");
+    return;
+  }
   const auto bytes = content.SerializeAsString();
   boost::system::error_code failure;
   socket_.send_to(asio::buffer(bytes),
-                  udp::endpoint(target.address(), target.port()), 0, failure);
+                  udp::endpoint(target->address(), target->port()), 0, failure);
   if (failure) {
     state_.metrics.Count("mimosadeck_digests_unsent_total", "reason",
                          failure.message());
@@ -514,7 +530,7 @@
   }
   co_await ReadCondemnedRows(state_);
   std::function<void(const std::string&)> add =
-      [this](const std::string& peer) { AddPeer(peer); };
+      [this](const std::string& peer) { AddPeer(peer, "store"); };
   co_await ReadMemberRows(state_, std::move(add));
 }
 
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -39,7 +39,9 @@
   void OnDatagram(const std::string& bytes, const std::string& sender);
   void OnDigest(wire::digest received, const std::string& sender);
   void OnSuspect(const wire::suspect& report, std::string_view origin);
-  void AddPeer(const std::string& address);
+  /** @param origin Who named the address, for the log. */
+  void AddPeer(const std::string& address, std::string_view origin);
+  void OnSummary(wire::summary received);
   /** @brief Builds this entry's digest without the fields of full rounds. */
   [[nodiscard]] wire::digest MakeDigest();
   void Send(const wire::datagram& content, const std::string& address);
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 
+#include "mimosadeckd/edge/peer_input.h"
 #include "wire/digest.pb.h"
 
 namespace mimosadeck::edge {
@@ -212,23 +213,6 @@
   return out;
 }
 
-registry::copied Decode(const wire::upstream_entry& from) {
-  registry::copied out;
-  out.entry.id = from.id();
-  out.entry.service = from.service();
-  out.entry.address = from.address();
-  out.entry.data_centre = from.data_centre();
-  out.entry.slots = from.slots();
-  out.entry.draining = from.draining();
-  out.entry.evictable = from.evictable();
-  out.entry.started_at_ms = from.started_at_ms();
-  out.version = from.version();
-  if (from.has_dropped_after_ms()) {
-    out.dropped_after = std::chrono::milliseconds(from.dropped_after_ms());
-  }
-  return out;
-}
-
 void AdoptRegistry(edge_state& state,
                    const std::string& text,
                    std::string_view origin) {
@@ -238,14 +222,7 @@
                    {{"origin", origin}});
     return;
   }
-  registry::update update;
-  update.since = received.since();
-  update.version = received.version();
-  update.changed_version = received.changed_version();
-  for (const auto& upstream : received.entries()) {
-    update.updated.push_back(Decode(upstream));
-  }
-  update.gone.assign(received.gone().begin(), received.gone().end());
+  auto update = DecodeRegistry(received, origin);
   const auto before = state.upstreams.by_id;
   const auto now = SuspendAwareNow();
   if (!registry::Adopt(state.upstreams, std::move(update), now)) {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -100,7 +100,8 @@
 }
 
 bool AcceptsCallers(const member& other) {
-  return other.last.ready() && !other.last.leaving();
+  return other.last.ready() && !other.last.leaving() &&
+         !other.last.caller_address().empty();
 }
 
 /** Returns the time at which contact with most of the members was lost: the
--- a/test/system/odd_peers_system_test.cc
+++ b/test/system/odd_peers_system_test.cc
@@ -222,6 +222,55 @@
   CheckThatTheEntryTakesPart();
 }
 
+// Guards against upstreams in a copied registry that nothing can be sent to.
+BOOST_AUTO_TEST_CASE(odd_upstreams_in_a_copied_registry_are_not_used) {
+  constexpr std::uint64_t kVersion = 100;
+  upstream_stand_in third{io, "u3"};
+  wire::upstream_registry copy;
+  copy.set_version(kVersion);
+  copy.set_changed_version(kVersion);
+  const auto add = [&copy](const std::string& id, const std::string& address,
+                           std::uint32_t slots) {
+    auto& out = *copy.add_entries();
+    out.set_id(id);
+    out.set_service("pool");
+    out.set_address(address);
+    out.set_slots(slots);
+    out.set_started_at_ms(5);
+    out.set_version(kVersion);
+  };
+  add("u3", third.Address(), 4);
+  add("no slots", first.Address(), 0);
+  add("", first.Address(), 4);
+  for (const auto& address : OddAddresses()) {
+    add("odd " + address.substr(0, 100), address, 4);
+  }
+  net::http_server other(
+      std::vector<asio::io_context*>{&io}, "127.0.0.1:0", net::server_options{},
+      [&copy](net::http_request,
+              net::exchange& exchange) -> asio::awaitable<void> {
+        net::http_response out;
+        out.body = copy.SerializeAsString();
+        co_await exchange.Respond(std::move(out));
+      });
+  Introduce();
+  BOOST_TEST(Eventually([&] {
+    auto content = Digest("other");
+    content.mutable_digest()->set_control_address(other.Address());
+    content.mutable_digest()->set_registry_version(kVersion);
+    SendTo(content);
+    Call("/safe/x");
+    return !third.runs.empty();
+  }));
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(Call("/safe/x").status == 200);
+  }
+  BOOST_TEST(Get(control, "/metrics")
+                 .body.find("mimosadeck_upstreams{service=\"pool\"} 1\n") !=
+             std::string::npos);
+  CheckThatTheEntryTakesPart();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
