Log what a task of an entry throws and start its loop again

An entry that met an unforeseen failure in one of its loops ran on without that loop and said nothing: it stopped following the store, copying, sending digests or doing its duties.

Cause: asio::detached drops the exception of a coroutine that co_spawn runs.

Fix: Spawn() logs `task_failed` with the task and the reason; KeepRunning() also starts a loop again after 0.5 s. All tasks of the edge daemon start there, except the removal of the member row, which Stop() waits for. FollowManifest and FollowUpstreams read from the start when they start again, since a failure may have come between reading a change and applying it (reading_again_repeats_what_was_read).

--- a/apps/mimosadeckd/edge/crashes.cc
+++ b/apps/mimosadeckd/edge/crashes.cc
@@ -3,11 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/rows.h"
+#include "mimosadeckd/edge/tasks.h"
 
 namespace mimosadeck::edge {
 namespace internal {
@@ -114,8 +113,8 @@
                     {"fingerprint", broken.fingerprint},
                     {"origin", "own attempt"},
                     {"upstream", broken.upstream}});
-    asio::co_spawn(state.io, WriteCondemnedRow(state, broken.fingerprint),
-                   asio::detached);
+    Spawn(state.io, "write_condemned_row",
+          WriteCondemnedRow(state, broken.fingerprint));
   }
 }
 
@@ -146,10 +145,9 @@
   auto& waiting = state.investigations[upstream];
   waiting.push_back(std::move(broken));
   if (waiting.size() == 1) {
-    asio::co_spawn(
-        state.io,
-        internal::Investigate(state, std::move(upstream), std::move(address)),
-        asio::detached);
+    Spawn(
+        state.io, "investigate",
+        internal::Investigate(state, std::move(upstream), std::move(address)));
   }
 }
 
--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -5,7 +5,6 @@
 #include <sstream>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "mimosadeckd/edge/duties.h"
@@ -15,6 +14,7 @@
 #include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/state.h"
 #include "mimosadeckd/edge/sync.h"
+#include "mimosadeckd/edge/tasks.h"
 #include "mimosadeckd/refusal.h"
 
 namespace mimosadeck::edge {
@@ -70,17 +70,25 @@
                     {"incarnation", std::to_string(state_.incarnation)}});
     Listen();
     gossip_.Start();
-    asio::co_spawn(io_, FollowManifest(state_), asio::detached);
-    asio::co_spawn(io_, FollowUpstreams(state_), asio::detached);
-    asio::co_spawn(io_, CatchUpOnManifest(state_), asio::detached);
-    asio::co_spawn(io_, CatchUpOnUpstreams(state_), asio::detached);
-    asio::co_spawn(io_, duties_.Run(), asio::detached);
+    StartLoops();
     WaitForSignal();
     io_.run();
     return 0;
   }
 
  private:
+  void StartLoops() {
+    KeepRunning(io_, "follow_manifest",
+                [this] { return FollowManifest(state_); });
+    KeepRunning(io_, "follow_upstreams",
+                [this] { return FollowUpstreams(state_); });
+    KeepRunning(io_, "catch_up_on_manifest",
+                [this] { return CatchUpOnManifest(state_); });
+    KeepRunning(io_, "catch_up_on_upstreams",
+                [this] { return CatchUpOnUpstreams(state_); });
+    KeepRunning(io_, "duties", [this] { return duties_.Run(); });
+  }
+
   void Listen() {
     const std::vector<asio::io_context*> contexts{&io_};
     net::server_options options;
@@ -180,7 +188,7 @@
       if (signal == SIGHUP) {
         Reload();
       } else if (!state_.draining_since) {
-        asio::co_spawn(io_, Stop(), asio::detached);
+        Spawn(io_, "stop", Stop());
       }
       WaitForSignal();
     });
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -3,13 +3,12 @@
 #include <algorithm>
 #include <set>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/peer_input.h"
 #include "mimosadeckd/edge/rows.h"
+#include "mimosadeckd/edge/tasks.h"
 #include "mimosadeckd/edge/upstream_signs.h"
 #include "net/address.h"
 
@@ -122,9 +121,9 @@
         internal::HostOf(seed) + ':' + std::to_string(state_.machine.peer_port),
         "settings");
   }
-  asio::co_spawn(state_.io, Receive(), asio::detached);
-  asio::co_spawn(state_.io, SendLoop(), asio::detached);
-  asio::co_spawn(state_.io, JoinFleet(), asio::detached);
+  KeepRunning(state_.io, "receive_gossip", [this] { return Receive(); });
+  KeepRunning(state_.io, "send_gossip", [this] { return SendLoop(); });
+  KeepRunning(state_.io, "join_fleet", [this] { return JoinFleet(); });
 }
 
 void gossip::Announce() {
@@ -204,8 +203,8 @@
     // The sender has not condemned it, so the row may not exist yet.
     if (!report.condemned() && quarantine::IsObservedLocally(
                                    state_.quarantine, report.fingerprint())) {
-      asio::co_spawn(state_.io, WriteCondemnedRow(state_, report.fingerprint()),
-                     asio::detached);
+      Spawn(state_.io, "write_condemned_row",
+            WriteCondemnedRow(state_, report.fingerprint()));
     }
   }
 }
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -342,6 +342,7 @@
 
 asio::awaitable<void> FollowManifest(edge_state& state) {
   internal::dependency_log store("store.manifest");
+  state.platform.ReadManifestAgain();
   while (!state.stopping) {
     if (!FollowsStore(state)) {
       co_await Sleep(internal::kVersionCheckInterval);
@@ -363,6 +364,7 @@
 
 asio::awaitable<void> FollowUpstreams(edge_state& state) {
   internal::dependency_log store("store.upstreams");
+  state.platform.ListUpstreamsAgain();
   while (!state.stopping) {
     if (!FollowsStore(state)) {
       state.store_followed = false;
--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -183,6 +183,22 @@
   BOOST_TEST(listing.entries.front().id == "b");
 }
 
+// Guards against losing changes that were read before a failure.
+BOOST_AUTO_TEST_CASE(reading_again_repeats_what_was_read) {
+  store.Put("op", "config", "one");
+  store.Put("servers", "a", kEntry);
+  for (int i = 0; i < 2; ++i) {
+    client.ReadManifestAgain();
+    client.ListUpstreamsAgain();
+    const auto manifest = Await(client.NextManifest(kWait));
+    BOOST_REQUIRE(Is<platform::manifest_update>(manifest));
+    const auto listed = Await(client.NextUpstreams(kWait));
+    BOOST_REQUIRE(Is<platform::upstream_listing>(listed));
+    BOOST_TEST(std::get<platform::upstream_listing>(listed).entries.size() ==
+               1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_row_is_reported_as_change_without_upstream) {
   store.Put("servers", "a", kEntry);
   static_cast<void>(Await(client.NextUpstreams(kWait)));
