--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -39,14 +39,16 @@
     return out;
   }
   const auto& pool = found->second;
+  std::vector<std::uint32_t> slots;
   for (const auto& [name, candidate] : pool.candidates) {
     auto& ready = out.ready[candidate.upstream->data_centre];
     ++(candidate.upstream->evictable ? ready.evictable : ready.lasting);
     const auto load = placement::TotalLoad(candidate);
     out.running += load.running;
     out.held_tokens += load.held_tokens;
-    out.slots = candidate.upstream->slots;
+    slots.push_back(candidate.upstream->slots);
   }
+  out.slots = sizing::TypicalSlots(std::move(slots));
   out.cache_tokens = pool.cache_tokens;
   out.ms_per_token = placement::MsPerToken(pool.read_times);
   out.tokens_per_second = placement::WorkPerSecond(pool);
--- a/src/sizing/sizing.cc
+++ b/src/sizing/sizing.cc
@@ -202,6 +202,16 @@
 }  // namespace
 }  // namespace internal
 
+std::uint32_t TypicalSlots(std::vector<std::uint32_t> slots) {
+  if (slots.empty()) {
+    return 0;
+  }
+  const auto middle =
+      slots.begin() + static_cast<std::ptrdiff_t>(slots.size() / 2);
+  std::nth_element(slots.begin(), middle, slots.end());
+  return *middle;
+}
+
 std::optional<order> NextOrder(planner& state,
                                const options& settings,
                                const routing::scaling_bounds& bounds,
--- a/src/sizing/sizing.h
+++ b/src/sizing/sizing.h
@@ -61,12 +61,19 @@
   std::uint32_t running{};
   /** Tokens held in the caches of all upstreams. */
   std::uint64_t held_tokens{};
-  /** Slots of one upstream. */
+  /** Slots of one upstream; see TypicalSlots(). */
   std::uint32_t slots{};
   /** Cache capacity of one upstream, in tokens. */
   std::uint64_t cache_tokens{};
 };
 
+/**
+ * @brief Returns the slots that a single upstream is assumed to have: the
+ * median, which one odd registration does not change.
+ * @return Zero without upstreams.
+ */
+[[nodiscard]] std::uint32_t TypicalSlots(std::vector<std::uint32_t> slots);
+
 /** @brief Order to a provider: the total number of upstreams of one kind that a
  * data centre should run. */
 struct order {
--- a/test/sizing/sizing_test.cc
+++ b/test/sizing/sizing_test.cc
@@ -210,4 +210,14 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against one odd registration that makes the fleet look many times its
+// size, so that too few upstreams are ordered.
+BOOST_AUTO_TEST_CASE(slots_of_one_odd_upstream_do_not_count) {
+  constexpr std::uint32_t kOdd = 4294967295;
+  BOOST_TEST(sizing::TypicalSlots({kOdd, 64, 64, 64}) == 64U);
+  BOOST_TEST(sizing::TypicalSlots({64, 64, kOdd}) == 64U);
+  BOOST_TEST(sizing::TypicalSlots({64}) == 64U);
+  BOOST_TEST(sizing::TypicalSlots({}) == 0U);
+}
+
 }  // namespace
