Drain the own interface's server once, without steps

Callers of the own interface would see: a request that was pipelined, or still arriving, a minute after the drain of a planned stop began was read and its connection closed without an answer. Found by the review of: Drain() lets no handler start once it has returned, and the stop called it in steps of a minute. Now one call waits; a second signal ends it, as before.

--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -27,9 +27,9 @@
 constexpr int kExitOk = 0;
 constexpr int kExitBadSettings = 2;
 constexpr unsigned kIncarnationRandomBits = 16;
-/** Longest single wait for requests in progress, which a stop repeats; longer
- * than a request may take to arrive. */
-constexpr std::chrono::minutes kDrainStep{1};
+/** Longest wait for requests in progress; in effect without limit, since an
+ * operator ends the wait with a second signal. */
+constexpr std::chrono::hours kMaxDrainTime{24};
 
 std::uint64_t MakeIncarnationNumber(std::mt19937_64& random) {
   const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -163,10 +163,7 @@
     fleet_.Leave();
     caller_server_->CloseAfterResponses();
     co_await Sleep(settings_.entries_time_to_live);
-    std::size_t in_progress = 1;
-    while (in_progress > 0) {
-      in_progress = co_await caller_server_->Drain(kDrainStep);
-    }
+    static_cast<void>(co_await caller_server_->Drain(kMaxDrainTime));
     co_await bookings_.HandOver();
     co_await leases_.HandOver();
     co_await accounts_.FlushAll();
