End a silent stream only when another attempt has been granted

Callers saw: a resumable stream broke off at the stall time of its first attempt although nothing continued it.

Cause: the stall time was the deadline of the connection, and whether another attempt is possible (another upstream, the retry budget, a condemned request, ids that allow it) was decided after the connection was gone.

Now a timer asks first: if an upstream is left and the retry is granted, the run is ended and the retry follows; otherwise the stream goes on, and the question is asked again after the next stall time. edge_test, silent_stream_without_another_upstream_is_not_cut_off, on the daemon before: incomplete; after: whole.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/crashes.h"
@@ -88,7 +89,8 @@
         context_(std::move(context)),
         selection_(std::move(selection)),
         exchange_(exchange),
-        call_(state.upstream_connections, state.io.get_executor()) {}
+        call_(state.upstream_connections, state.io.get_executor()),
+        stall_timer_(state.io) {}
   ~attempt() { context_->active_call = nullptr; }
   attempt(const attempt&) = delete;
   attempt& operator=(const attempt&) = delete;
@@ -238,9 +240,13 @@
 
   asio::awaitable<attempt_result> ForwardStream() {
     answer::BeginRun(context_->framer);
-    RestartStallTimeout();
+    RestartStallTimer();
     while (true) {
       auto piece = co_await call_.ReadPiece();
+      if (context_->retry_granted) {
+        co_return MakeFailure(
+            {net::call_progress::sent, true, "no event within the stall time"});
+      }
       if (const auto* failed = std::get_if<net::call_failure>(&piece)) {
         co_return MakeFailure(*failed);
       }
@@ -262,7 +268,7 @@
         co_return StopMisplacedRun();
       }
       RecordEventGap();
-      RestartStallTimeout();
+      RestartStallTimer();
       const bool is_written = co_await ForwardEvents(std::move(whole_events));
       if (!is_written) {
         call_.Close();
@@ -305,10 +311,36 @@
     co_return written;
   }
 
-  void RestartStallTimeout() {
-    if (const auto stall =
-            forwarding::StallTimeout(context_->progress, *context_->route)) {
-      call_.SetDeadline(std::min(context_->deadline, steady::now() + *stall));
+  void RestartStallTimer() {
+    const auto stall =
+        forwarding::StallTimeout(context_->progress, *context_->route);
+    if (!stall) {
+      return;
+    }
+    stall_timer_.expires_after(*stall);
+    stall_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](
+                                boost::system::error_code failure) {
+      if (!failure && !alive.expired()) {
+        OnStall();
+      }
+    });
+  }
+
+  /** Ends a silent run if another one can continue the stream. */
+  void OnStall() {
+    const auto& pool = state_.pools[context_->service];
+    const bool has_other_upstream =
+        placement::Choose(pool, state_.placement_options, context_->job,
+                          state_.machine.data_centre, context_->tried_upstreams,
+                          SuspendAwareNow())
+            .has_value();
+    context_->retry_granted =
+        has_other_upstream &&
+        MayRetry(state_, *context_, attempt_end::broke_off);
+    if (context_->retry_granted) {
+      call_.Close();
+    } else {
+      RestartStallTimer();
     }
   }
 
@@ -378,9 +410,8 @@
   void ReportOutcome(placement::pool& pool, const attempt_result& outcome) {
     const auto now = SuspendAwareNow();
     const auto* failed = std::get_if<attempt_failure>(&outcome);
-    const bool is_caused_by_caller = context_->caller_left;
-    if (is_caused_by_caller ||
-        (failed && failed->end == attempt_end::refused)) {
+    const bool is_caused_here = context_->caller_left || context_->is_cancelled;
+    if (is_caused_here || (failed && failed->end == attempt_end::refused)) {
       return;
     }
     auto observed = outlier::outcome::served;
@@ -405,6 +436,8 @@
   placement::selection selection_;
   net::exchange& exchange_;
   net::http_call call_;
+  asio::steady_timer stall_timer_;
+  std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
   steady::time_point started_;
   mono_time sent_at_;
   bool has_begun_{};
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/attempt.h"
@@ -61,30 +63,6 @@
           bounds.retry_budget_window};
 }
 
-/** @brief Returns whether the request may be sent again; consumes one repeat of
- * the retry budget unless the attempt did not connect. */
-bool MayRetry(edge_state& state, request_context& context, attempt_end ended) {
-  if (context.caller_left || steady::now() >= context.deadline) {
-    return false;
-  }
-  if (!forwarding::MayRetry(context.progress, {}, *context.route, ended)) {
-    return false;
-  }
-  if (context.progress.answer_started && !answer::CanResume(context.framer)) {
-    return false;
-  }
-  if (!state.quarantine.suspects.empty() &&
-      quarantine::IsCondemned(state.quarantine, FingerprintOf(context))) {
-    return false;
-  }
-  if (ended == attempt_end::not_connected) {
-    return true;
-  }
-  return retry::TryRetry(state.retry_budgets[context.service],
-                         RetryLimit(state), EntryCount(state),
-                         SuspendAwareNow());
-}
-
 /** Routes whose service times are kept. The limit bounds memory, because
  * manifests keep adding and removing routes. */
 constexpr std::size_t kMaxTimedRoutes = 4096;
@@ -265,6 +243,43 @@
        {"taken_ms", std::to_string(elapsed.count())}});
 }
 
+bool MayRetry(edge_state& state,
+              request_context& context,
+              forwarding::attempt_end ended) {
+  if (context.caller_left || context.is_cancelled ||
+      std::chrono::steady_clock::now() >= context.deadline) {
+    return false;
+  }
+  if (!forwarding::MayRetry(context.progress, {}, *context.route, ended)) {
+    return false;
+  }
+  if (context.progress.answer_started && !answer::CanResume(context.framer)) {
+    return false;
+  }
+  if (!state.quarantine.suspects.empty() &&
+      quarantine::IsCondemned(state.quarantine, FingerprintOf(context))) {
+    return false;
+  }
+  if (ended == forwarding::attempt_end::not_connected) {
+    return true;
+  }
+  return retry::TryRetry(state.retry_budgets[context.service],
+                         internal::RetryLimit(state), EntryCount(state),
+                         SuspendAwareNow());
+}
+
+void CancelUnanswered(const edge_state& state) {
+  for (auto* context : *state.running_requests) {
+    if (context->progress.answer_started) {
+      continue;
+    }
+    context->is_cancelled = true;
+    if (context->active_call) {
+      context->active_call->Close();
+    }
+  }
+}
+
 void LogRequestsCutOff(const edge_state& state) {
   for (const auto* context : *state.running_requests) {
     const auto time_left =
@@ -354,7 +369,8 @@
     }
     auto& failed = std::get<attempt_failure>(outcome);
     context->attempt_log += ':' + std::string(internal::NameOf(failed.end));
-    const bool may_retry = internal::MayRetry(state, *context, failed.end);
+    const bool may_retry = std::exchange(context->retry_granted, false) ||
+                           MayRetry(state, *context, failed.end);
     state.metrics.Count("mimosadeck_attempts_failed_total", "end",
                         std::string(internal::NameOf(failed.end)));
     if (may_retry) {
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -114,7 +114,7 @@
 /** @brief Lists a request as running for the lifetime of this object. */
 class running_request {
  public:
-  running_request(const edge_state& state, const request_context& context)
+  running_request(const edge_state& state, request_context& context)
       : all_(state.running_requests), context_(context) {
     all_->insert(&context_);
   }
@@ -123,8 +123,8 @@
   running_request& operator=(const running_request&) = delete;
 
  private:
-  std::shared_ptr<std::set<const request_context*>> all_;
-  const request_context& context_;
+  std::shared_ptr<std::set<request_context*>> all_;
+  request_context& context_;
 };
 
 }  // namespace
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -140,8 +140,8 @@
 
   /** Requests of callers that are in progress, for the log of a stop; shared
    * because requests may outlive the event loop. */
-  std::shared_ptr<std::set<const request_context*>> running_requests{
-      std::make_shared<std::set<const request_context*>>()};
+  std::shared_ptr<std::set<request_context*>> running_requests{
+      std::make_shared<std::set<request_context*>>()};
   /** Unset while the entry serves normally. */
   std::optional<planned_stop> stop;
   /** The event loop is about to end; background loops return. */
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -59,6 +59,10 @@
   /** Current upstream call, closed when the caller disconnects; may be null. */
   net::http_call* active_call{};
   bool caller_left{};
+  /** The retry after the current attempt was already granted by MayRetry(). */
+  bool retry_granted{};
+  /** The end of a planned stop has cancelled the request. */
+  bool is_cancelled{};
 
   /** @brief Returns the request's urgency; 0 is the most urgent. */
   [[nodiscard]] int Urgency() const {
@@ -111,6 +115,17 @@
                    int status,
                    std::string_view outcome);
 
+/** @brief Returns whether the request may be sent again after an attempt that
+ * ended like this; consumes one repeat of the retry budget unless the attempt
+ * did not connect. */
+[[nodiscard]] bool MayRetry(edge_state& state,
+                            request_context& context,
+                            forwarding::attempt_end ended);
+
+/** @brief Ends the attempts of requests of whose answer nothing was sent, so
+ * that their callers get an error response. */
+void CancelUnanswered(const edge_state& state);
+
 /** @brief Logs the requests that the end of a planned stop cuts off. */
 void LogRequestsCutOff(const edge_state& state);
 
--- a/test/system/edge_test.cc
+++ b/test/system/edge_test.cc
@@ -319,6 +319,25 @@
   BOOST_TEST(RunCount() == 2);
 }
 
+// Guards against ending a resumable stream because its upstream is silent when
+// no other upstream could continue it.
+BOOST_AUTO_TEST_CASE(silent_stream_without_another_upstream_is_not_cut_off) {
+  store.Drop("servers", "u2");
+  BOOST_TEST(Eventually([this] {
+    return Get(control, "/upstreams?since=0").body.find("u2") ==
+           std::string::npos;
+  }));
+  first.slow_pause = 2100ms;
+  SetAnswers(answer::slow_stream);
+  auto request = Request("/resume/x");
+  request.fields["x-request-deadline-ms"] =
+      std::to_string(std::chrono::milliseconds(kSilentStreamLimit).count());
+  const auto got = Send(callers, request);
+  BOOST_TEST(got.complete);
+  BOOST_TEST(got.body == WholeStream(LastId()));
+  BOOST_TEST(RunCount() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(changes, one_entry)
