Answer requests that have no answer yet before a planned stop ends

Callers saw: the connection of a request that still waited for its upstream was closed without an answer at the end of the grace period (planned_stop_system_test, request_without_an_answer_at_the_end_gets_an_error, on the daemon before: no status and no end, for a booking, a lookup and a stream that had not begun).

Cause: the event loop ended without telling them, although an answer that promises nothing can be sent. The users' rule excuses a cut only while the upstream is at work, which a request in an upstream's queue may not be.

Now, 0.1 s before the end, attempts of requests of whose answer nothing was sent are ended without blaming the upstream. Their callers get 502 if the request may have run, and 503 if it has not. Streams that have begun are still cut off there.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kStopPollInterval{50};
+/** Time at the end of a planned stop for error responses to requests that have
+ * no answer yet. */
+constexpr std::chrono::milliseconds kErrorResponseTime{100};
 /** Connections stay open for this multiple of the idle limit: callers reuse
  * them up to the limit they know, which a new manifest may have lowered. */
 constexpr int kIdleFactor = 2;
@@ -228,11 +231,15 @@
     gossip_.Announce();
     const auto callers_refreshed_at =
         began + kDirectoryTtl * kDirectoryTtlFactor;
-    while (SuspendAwareNow() < ends &&
+    const auto cancels_at = ends - kErrorResponseTime;
+    while (SuspendAwareNow() < cancels_at &&
            (SuspendAwareNow() < callers_refreshed_at ||
             callers_->ActiveExchanges() > 0)) {
       co_await Sleep(kStopPollInterval);
     }
+    if (SuspendAwareNow() >= cancels_at) {
+      CancelUnanswered(state_);
+    }
     gossip_.Announce();
     bool is_row_removed = false;
     asio::co_spawn(
--- a/test/system/planned_stop_system_test.cc
+++ b/test/system/planned_stop_system_test.cc
@@ -58,9 +58,11 @@
     io.run_for(time);
   }
 
-  /** @brief Sends a stream request without waiting for its answer. */
-  void StartStream() {
-    auto request = Request("/once/x");
+  /** @brief Sends a request without waiting for its answer. */
+  void StartStream() { StartRequest("/once/x"); }
+
+  void StartRequest(const std::string& target) {
+    auto request = Request(target);
     request.fields["x-request-deadline-ms"] =
         std::to_string(std::chrono::milliseconds(kStreamLimit).count());
     auto& out = streams.emplace_back();
@@ -146,6 +148,27 @@
   CheckStreamsAfterNotice();
 }
 
+// Guards against closing the connection of a request that has no answer yet at
+// the end of a stop, where an error response can still be sent.
+BOOST_AUTO_TEST_CASE(request_without_an_answer_at_the_end_gets_an_error) {
+  first.work_time = second.work_time = kStreamLimit;
+  SetAnswers(answer::good);
+  for (const auto* route : {"/unsafe/x", "/safe/x", "/once/x"}) {
+    StartRequest(route);
+  }
+  BOOST_REQUIRE(Eventually([this] { return RunCount() == 3; }));
+  SendStopSignal();
+  BOOST_REQUIRE(Eventually([this] {
+    return std::all_of(streams.begin(), streams.end(),
+                       [](const auto& sent) { return sent.done; });
+  }));
+  for (const auto& sent : streams) {
+    BOOST_TEST(sent.response.status == 502);
+    BOOST_TEST(sent.complete);
+  }
+  BOOST_TEST(RunCount() == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
