--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -13,8 +13,8 @@
 constexpr std::chrono::milliseconds kStartupRetryAfter{300};
 /** Retry-After of a stopping entry: other entries can serve immediately. */
 constexpr std::chrono::milliseconds kStoppingRetryAfter{50};
-/** Longest delay until a busy process handles the stop signal. The stop is
- * timed from there on, but callers' directory answers expire from the signal
+/** Assumed longest delay until a busy process handles the stop signal. The stop
+ * is timed from there on, but callers' directory answers expire from the signal
  * on. */
 constexpr std::chrono::milliseconds kMaxSignalDelay{500};
 /** Expected answer length without a hint, as a ratio of the maximum length. */
--- a/soak/stop_callers.cc
+++ b/soak/stop_callers.cc
@@ -19,10 +19,10 @@
 constexpr milliseconds kMaxPause{1500};
 constexpr milliseconds kMaxRepeatPause{400};
 /** Callers wait this much longer than the limit that they state. */
-constexpr milliseconds kPatience{1000};
+constexpr milliseconds kCallMargin{1000};
 constexpr milliseconds kShortTimeout{3000};
 constexpr milliseconds kLongLimit{20000};
-constexpr milliseconds kImpatientLimit{12000};
+constexpr milliseconds kShortLimit{12000};
 constexpr double kImpatientFraction = 0.3;
 /** Keeps the pauses between events under two seconds at a slowed upstream. */
 constexpr milliseconds kMaxResumable{3500};
@@ -53,7 +53,7 @@
   timed_request out;
   out.work = StreamLength(random);
   out.caller_limit =
-      random.Chance(kImpatientFraction) ? kImpatientLimit : kLongLimit;
+      random.Chance(kImpatientFraction) ? kShortLimit : kLongLimit;
   auto& sent = out.sent;
   sent.kind = request_kind::single_stream;
   sent.route = "/once/";
@@ -138,8 +138,8 @@
   sent.process = target.ProcessName();
   sent.at = SuspendAwareNow();
   auto message = Encode(drawn);
-  exchange_options options{target.listeners[0], drawn.caller_limit + kPatience,
-                           std::nullopt};
+  exchange_options options{target.listeners[0],
+                           drawn.caller_limit + kCallMargin, std::nullopt};
   context.checks.OnSent(std::move(sent));
   auto out = co_await Exchange(cache, std::move(message), std::move(options));
   // Interrupted answers are judged by the rule on planned stops.
