Do not use a granted retry for a caller that has left

A stall may grant a retry while an event is being written to the caller; if that write fails, the request was sent to another upstream for nobody. Found on reading the change; no test.

--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -369,8 +369,10 @@
     }
     auto& failed = std::get<attempt_failure>(outcome);
     context->attempt_log += ':' + std::string(internal::NameOf(failed.end));
-    const bool may_retry = std::exchange(context->retry_granted, false) ||
-                           MayRetry(state, *context, failed.end);
+    const bool was_granted = std::exchange(context->retry_granted, false);
+    const bool may_retry =
+        !context->caller_left &&
+        (was_granted || MayRetry(state, *context, failed.end));
     state.metrics.Count("mimosadeck_attempts_failed_total", "end",
                         std::string(internal::NameOf(failed.end)));
     if (may_retry) {
