--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -1,5 +1,6 @@
 #include "mimosadeckd/edge/sync.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include "mimosadeckd/edge/peer_input.h"
@@ -97,6 +98,26 @@
   }
 }
 
+/** @brief Logs the changes that are ignored because their versions are not
+ * above the applied one. */
+void LogIgnoredChanges(const registry::upstream_set& state,
+                       const std::vector<registry::change>& received) {
+  std::uint64_t newest = 0;
+  std::size_t count = 0;
+  for (const auto& each : received) {
+    if (each.version <= state.version) {
+      newest = std::max(newest, each.version);
+      ++count;
+    }
+  }
+  if (count > 0) {
+    telemetry::Log(telemetry::level::info, "upstream_changes_ignored",
+                   {{"version", std::to_string(newest)},
+                    {"applied_version", std::to_string(state.version)},
+                    {"count", std::to_string(count)}});
+  }
+}
+
 void LogCopyFailed(std::string_view address,
                    std::string_view path,
                    std::string_view reason) {
@@ -387,6 +408,13 @@
     }
     const auto before = state.upstreams.by_id;
     if (auto* listing = std::get_if<platform::upstream_listing>(&step)) {
+      if (listing->version < state.upstreams.version) {
+        telemetry::Log(
+            telemetry::level::warning, "upstream_listing_ignored",
+            {{"version", std::to_string(listing->version)},
+             {"applied_version", std::to_string(state.upstreams.version)},
+             {"count", std::to_string(listing->entries.size())}});
+      }
       registry::OnListing(state.upstreams, state.registry_options,
                           std::move(listing->entries), listing->version, now);
       telemetry::Log(telemetry::level::info, "upstreams_listed",
@@ -394,6 +422,7 @@
                       {"version", std::to_string(listing->version)}});
     } else {
       auto& changes = std::get<platform::upstream_changes>(step).changes;
+      internal::LogIgnoredChanges(state.upstreams, changes);
       registry::OnChanges(state.upstreams, state.registry_options,
                           std::move(changes), now);
       internal::LogDifference(before, state.upstreams);
