--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -79,6 +79,17 @@
   rows_[{table, key}] = {"", ++version_, true};
 }
 
+void store_stand_in::TakeCopy() {
+  copied_version_ = version_;
+  copied_rows_ = rows_;
+}
+
+void store_stand_in::ReturnFromCopy() {
+  version_ = copied_version_;
+  rows_ = copied_rows_;
+  ++era_;
+}
+
 asio::awaitable<void> store_stand_in::Answer(net::http_request request,
                                              net::exchange& exchange) {
   calls.push_back(request.target);
@@ -109,15 +120,21 @@
       co_await exchange.Respond(std::move(response));
       co_return;
   }
-  if (request.target.starts_with("/v1/rows-feed")) {
-    auto target = request.target;
-    response = co_await Feed(std::move(target));
-  } else {
-    response = Execute(request);
-  }
+  response = co_await Respond(request);
+  response.fields["store-era"] = std::to_string(era_);
   co_await exchange.Respond(std::move(response));
 }
 
+asio::awaitable<net::http_response> store_stand_in::Respond(
+    const net::http_request& request) {
+  if (!request.target.starts_with("/v1/rows-feed")) {
+    co_return Execute(request);
+  }
+  auto target = request.target;
+  auto response = co_await Feed(std::move(target));
+  co_return response;
+}
+
 net::http_response store_stand_in::Execute(const net::http_request& request) {
   if (request.target == "/v1/rows-tx") {
     return Commit(request);
@@ -202,10 +219,14 @@
   const auto since = std::stoull(QueryParameter(target, "since_rev"));
   std::chrono::milliseconds remaining(
       std::stoll(QueryParameter(target, "wait_ms")));
-  if (since < oldest_version_) {
+  const auto era = era_;
+  if (since < oldest_version_ || since > version_) {
     co_return JsonResponse(410, {});
   }
   while (true) {
+    if (era_ != era) {
+      co_return JsonResponse(410, {});
+    }
     json::array rows;
     for (const auto& [name, row] : rows_) {
       if (name.first == table && row.version > since) {
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -67,6 +67,21 @@
    * older version get 410. */
   void Compact() { oldest_version_ = version_; }
 
+  /** @brief Returns the newest version. */
+  [[nodiscard]] std::uint64_t Version() const { return version_; }
+
+  /** @brief Copies all rows, for ReturnFromCopy(). */
+  void TakeCopy();
+
+  /**
+   * @brief Puts the last copy in place of the rows.
+   *
+   * Versions continue from those of the copy, so that some are used again. All
+   * responses state the next era; calls for changes since a version that the
+   * copy does not have get 410.
+   */
+  void ReturnFromCopy();
+
   /** Fault shown until it is set to another value. */
   store_fault fault{store_fault::none};
   /** Highest fencing number in the reports received. */
@@ -86,6 +101,8 @@
 
   boost::asio::awaitable<void> Answer(net::http_request request,
                                       net::exchange& exchange);
+  boost::asio::awaitable<net::http_response> Respond(
+      const net::http_request& request);
   net::http_response Execute(const net::http_request& request);
   net::http_response Commit(const net::http_request& request);
   net::http_response Get(const std::string& target);
@@ -96,6 +113,9 @@
   /** Oldest version since which changes can be read. */
   std::uint64_t oldest_version_{0};
   std::map<row_name, versioned_value> rows_;
+  std::uint64_t era_{1};
+  std::uint64_t copied_version_{};
+  std::map<row_name, versioned_value> copied_rows_;
   std::unique_ptr<net::http_server> server_;
 };
 
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -90,6 +90,9 @@
   /** @brief Starts the simulated process again with the same id and address. */
   void Restart();
 
+  /** @brief Simulates another start of the process under the same id. */
+  void BeginNextIncarnation() { ++started_at_ms_; }
+
   /** @brief Simulates another upstream at the same address. */
   void ChangeId(std::string id);
 
