--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -76,6 +76,7 @@
 }
 
 void RefreshPools(edge_state& state) {
+  RecordDrainingUpstreams(state);
   if (!state.table) {
     return;
   }
--- a/apps/mimosadeckd/edge/upstream_signs.cc
+++ b/apps/mimosadeckd/edge/upstream_signs.cc
@@ -19,9 +19,11 @@
 /** Origin of a signal in an answer to this entry, for the log. */
 constexpr std::string_view kOwnAnswer = "answer";
 
+using incarnation_set = std::set<std::string, std::less<>>;
+
 /** @brief Returns the incarnations that the registry lists as ready. */
-std::set<std::string, std::less<>> ListedIncarnations(const edge_state& state) {
-  std::set<std::string, std::less<>> out;
+incarnation_set ReadyIncarnations(const edge_state& state) {
+  incarnation_set out;
   for (const auto& [id, upstream] : state.upstreams.by_id) {
     if (!upstream.entry->draining) {
       out.insert(registry::IncarnationOf(*upstream.entry));
@@ -30,6 +32,15 @@
   return out;
 }
 
+/** @brief Returns the incarnations that the registry lists. */
+incarnation_set ListedIncarnations(const edge_state& state) {
+  incarnation_set out;
+  for (const auto& [id, upstream] : state.upstreams.by_id) {
+    out.insert(registry::IncarnationOf(*upstream.entry));
+  }
+  return out;
+}
+
 void OnLeaving(edge_state& state,
                const std::string& incarnation,
                std::string_view origin) {
@@ -143,15 +154,26 @@
   }
 }
 
+void RecordDrainingUpstreams(edge_state& state) {
+  const auto now = SuspendAwareNow();
+  for (const auto& [id, upstream] : state.upstreams.by_id) {
+    if (upstream.entry->draining) {
+      availability::OnSignal(state.availability, state.availability_options,
+                             registry::IncarnationOf(*upstream.entry),
+                             availability::signal::registered, now);
+    }
+  }
+}
+
 std::vector<std::string> SelectLeavingUpstreams(const edge_state& state,
                                                 std::uint64_t round) {
   auto out = availability::Leaving(state.availability);
   if (out.empty()) {
     return out;
   }
-  const auto listed = internal::ListedIncarnations(state);
-  std::erase_if(out, [&listed](const auto& incarnation) {
-    return !listed.contains(incarnation);
+  const auto ready = internal::ReadyIncarnations(state);
+  std::erase_if(out, [&ready](const auto& incarnation) {
+    return !ready.contains(incarnation);
   });
   return SelectRoundRobin(std::move(out), internal::kMaxLeavingPerDigest,
                           round);
--- a/apps/mimosadeckd/edge/upstream_signs.h
+++ b/apps/mimosadeckd/edge/upstream_signs.h
@@ -39,6 +39,10 @@
                  const std::string& incarnation,
                  std::string_view origin);
 
+/** @brief Marks the upstreams as leaving that the registry lists as draining;
+ * they stay so if the registry lists them as ready again. */
+void RecordDrainingUpstreams(edge_state& state);
+
 /**
  * @brief Returns leaving upstreams to report in one gossip message: those that
  * the registry still lists as ready.
--- a/src/availability/availability.cc
+++ b/src/availability/availability.cc
@@ -32,7 +32,8 @@
   auto& found = internal::TouchRecord(state, incarnation, now);
   switch (received) {
     case signal::announced:
-    case signal::reported: {
+    case signal::reported:
+    case signal::registered: {
       const bool is_first = !found.leaving;
       found.leaving = true;
       return is_first;
--- a/src/availability/availability.h
+++ b/src/availability/availability.h
@@ -18,8 +18,10 @@
 enum class signal {
   /** An answer of the upstream announces that it is leaving. */
   announced,
-  /** Another entry reported such an answer. */
+  /** Another entry reported that it is leaving. */
   reported,
+  /** Its registration says that it is leaving. */
+  registered,
   /** Another upstream answered at its address. */
   replaced,
   /** It closed the connection after an answer, which healthy upstreams also do
@@ -50,7 +52,8 @@
 /** @brief Availability of one incarnation of an upstream, as seen by one
  * entry. */
 struct record {
-  /** It accepts no new work and never will again. */
+  /** It accepts no new work and never will again, whatever later answers or
+   * registrations say: they may be old. */
   bool leaving{};
   /** It accepts no work before this time. */
   mono_time closed_until;
--- a/test/availability/availability_test.cc
+++ b/test/availability/availability_test.cc
@@ -44,6 +44,16 @@
   BOOST_TEST(availability::IsLeaving(records, name));
 }
 
+// Guards against using an upstream again that the registry lists as ready after
+// it listed it as draining.
+BOOST_AUTO_TEST_CASE(registered_leaving_stays_while_the_upstream_is_listed) {
+  BOOST_TEST(Signal(signal::registered));
+  BOOST_TEST(!Signal(signal::announced));
+  now += options.retention + 1ms;
+  Tick(true);
+  BOOST_TEST(availability::IsLeaving(records, name));
+}
+
 BOOST_AUTO_TEST_CASE(next_incarnation_of_the_same_id_is_not_leaving) {
   Signal(signal::announced);
   BOOST_TEST(!availability::IsLeaving(records, "u1/6"));
