--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -167,22 +167,33 @@
   BOOST_TEST(Is<platform::unchanged>(Await(client.NextManifest(kWait))));
 }
 
-BOOST_AUTO_TEST_CASE(discarded_history_leads_to_a_new_listing) {
+// Guards against taking discarded changes for an answer without changes, after
+// which an entry believes to be current and waits before it lists.
+BOOST_AUTO_TEST_CASE(discarded_history_leads_to_a_listing_in_the_same_call) {
   store.Put("servers", "a", kEntry);
   BOOST_TEST(
       Is<platform::upstream_listing>(Await(client.NextUpstreams(kWait))));
   store.Drop("servers", "a");
   store.Put("servers", "b", kEntry);
   store.Compact();
-  auto result = Await(client.NextUpstreams(kWait));
-  BOOST_REQUIRE(Is<platform::upstream_changes>(result));
-  result = Await(client.NextUpstreams(kWait));
+  const auto result = Await(client.NextUpstreams(kWait));
   BOOST_REQUIRE(Is<platform::upstream_listing>(result));
   const auto& listing = std::get<platform::upstream_listing>(result);
   BOOST_REQUIRE(listing.entries.size() == 1);
   BOOST_TEST(listing.entries.front().id == "b");
 }
 
+BOOST_AUTO_TEST_CASE(discarded_history_leads_to_the_manifest_in_the_same_call) {
+  store.Put("op", "config", "one");
+  static_cast<void>(Await(client.NextManifest(kWait)));
+  store.Put("op", "config", "two");
+  store.Compact();
+  store.Put("op", "config", "three");
+  const auto result = Await(client.NextManifest(kWait));
+  BOOST_REQUIRE(Is<platform::manifest_update>(result));
+  BOOST_TEST(std::get<platform::manifest_update>(result).text == "three");
+}
+
 // Guards against losing changes that were read before a failure.
 BOOST_AUTO_TEST_CASE(reading_again_repeats_what_was_read) {
   store.Put("op", "config", "one");
