--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -277,7 +277,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(followed)
             .count()));
   }
-  out.set_registry_version(state_.upstreams.changed_version);
+  out.set_registry_version(
+      registry::ToInteger(state_.upstreams.changed_version));
   internal::FillWork(state_, out);
   return out;
 }
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -48,7 +48,9 @@
   metrics.Set("mimosadeck_manifest_version", "entry", entry,
               state.table ? static_cast<double>(state.table->Version()) : 0);
   metrics.Set("mimosadeck_registry_version", "entry", entry,
-              static_cast<double>(state.upstreams.version));
+              static_cast<double>(registry::NumberOf(state.upstreams.version)));
+  metrics.Set("mimosadeck_store_era", "entry", entry,
+              static_cast<double>(registry::EraOf(state.upstreams.version)));
   metrics.Set("mimosadeck_registry_current", "entry", entry,
               IsRegistryCurrent(state) ? 1 : 0);
   if (state.registry_synced_at) {
--- a/apps/mimosadeckd/edge/peer_input.cc
+++ b/apps/mimosadeckd/edge/peer_input.cc
@@ -23,7 +23,7 @@
   out.entry.draining = from.draining();
   out.entry.evictable = from.evictable();
   out.entry.started_at_ms = from.started_at_ms();
-  out.version = from.version();
+  out.version = registry::store_version{from.version()};
   if (from.has_dropped_after_ms()) {
     out.dropped_after = std::chrono::milliseconds(from.dropped_after_ms());
   }
@@ -66,9 +66,9 @@
 registry::update DecodeRegistry(const wire::upstream_registry& received,
                                 std::string_view origin) {
   registry::update update;
-  update.since = received.since();
-  update.version = received.version();
-  update.changed_version = received.changed_version();
+  update.since = registry::store_version{received.since()};
+  update.version = registry::store_version{received.version()};
+  update.changed_version = registry::store_version{received.changed_version()};
   update.gone.assign(received.gone().begin(), received.gone().end());
   for (const auto& upstream : received.entries()) {
     if (internal::IsUsable(upstream)) {
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -151,7 +151,8 @@
       fleet::LiveMembers(state.members, state.fleet_options, SuspendAwareNow());
   return std::any_of(live.begin(), live.end(), [&state](const auto* member) {
     return member->last.store_followed() &&
-           member->last.registry_version() <= state.upstreams.version;
+           member->last.registry_version() <=
+               registry::ToInteger(state.upstreams.version);
   });
 }
 
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -67,6 +67,14 @@
   std::optional<mono_time> lost_at_;
 };
 
+/** @brief Returns a place in the store's history for the log: the version, and
+ * before it the era if the store states one. */
+std::string Describe(registry::store_version at) {
+  const auto era = registry::EraOf(at);
+  const auto number = std::to_string(registry::NumberOf(at));
+  return era == 0 ? number : std::to_string(era) + '/' + number;
+}
+
 void LogUpstream(std::string_view event, const registry::upstream& entry) {
   telemetry::Log(telemetry::level::info, event,
                  {{"upstream", entry.id},
@@ -102,7 +110,7 @@
  * above the applied one. */
 void LogIgnoredChanges(const registry::upstream_set& state,
                        const std::vector<registry::change>& received) {
-  std::uint64_t newest = 0;
+  registry::store_version newest{};
   std::size_t count = 0;
   for (const auto& each : received) {
     if (each.version <= state.version) {
@@ -112,8 +120,8 @@
   }
   if (count > 0) {
     telemetry::Log(telemetry::level::info, "upstream_changes_ignored",
-                   {{"version", std::to_string(newest)},
-                    {"applied_version", std::to_string(state.version)},
+                   {{"version", Describe(newest)},
+                    {"applied_version", Describe(state.version)},
                     {"count", std::to_string(count)}});
   }
 }
@@ -226,7 +234,7 @@
   out.set_draining(from.entry.draining);
   out.set_evictable(from.entry.evictable);
   out.set_started_at_ms(from.entry.started_at_ms);
-  out.set_version(from.version);
+  out.set_version(registry::ToInteger(from.version));
   if (from.dropped_after) {
     out.set_dropped_after_ms(
         static_cast<std::uint32_t>(from.dropped_after->count()));
@@ -252,7 +260,7 @@
   LogDifference(before, state.upstreams);
   telemetry::Log(telemetry::level::info, "registry_adopted",
                  {{"origin", origin},
-                  {"version", std::to_string(state.upstreams.version)},
+                  {"version", Describe(state.upstreams.version)},
                   {"count", std::to_string(state.upstreams.by_id.size())}});
   state.registry_synced_at = now;
   RefreshPools(state);
@@ -302,7 +310,8 @@
                                    const fleet::member& from) {
   const auto origin = from.last.name();
   auto address = from.last.control_address();
-  auto path = SinceTarget(kUpstreamsPath, state.upstreams.version);
+  auto path =
+      SinceTarget(kUpstreamsPath, registry::ToInteger(state.upstreams.version));
   const auto text = co_await Fetch(state, std::move(address), std::move(path));
   if (text) {
     AdoptRegistry(state, *text, origin);
@@ -408,18 +417,28 @@
     }
     const auto before = state.upstreams.by_id;
     if (auto* listing = std::get_if<platform::upstream_listing>(&step)) {
+      if (registry::EraOf(listing->version) >
+          registry::EraOf(state.upstreams.version)) {
+        telemetry::Log(
+            telemetry::level::warning, "store_returned_from_copy",
+            {{"version", internal::Describe(listing->version)},
+             {"applied_version", internal::Describe(state.upstreams.version)}});
+      }
       if (listing->version < state.upstreams.version) {
         telemetry::Log(
             telemetry::level::warning, "upstream_listing_ignored",
-            {{"version", std::to_string(listing->version)},
-             {"applied_version", std::to_string(state.upstreams.version)},
+            {{"version", internal::Describe(listing->version)},
+             {"applied_version", internal::Describe(state.upstreams.version)},
              {"count", std::to_string(listing->entries.size())}});
       }
       registry::OnListing(state.upstreams, state.registry_options,
                           std::move(listing->entries), listing->version, now);
       telemetry::Log(telemetry::level::info, "upstreams_listed",
                      {{"count", std::to_string(state.upstreams.by_id.size())},
-                      {"version", std::to_string(listing->version)}});
+                      {"version", internal::Describe(listing->version)}});
+      if (!before.empty()) {
+        internal::LogDifference(before, state.upstreams);
+      }
     } else {
       auto& changes = std::get<platform::upstream_changes>(step).changes;
       internal::LogIgnoredChanges(state.upstreams, changes);
@@ -458,13 +477,13 @@
   while (!state.stopping) {
     co_await Sleep(internal::kVersionCheckInterval);
     const auto before = state.upstreams.generation;
-    registry::Tick(state.upstreams, SuspendAwareNow());
+    registry::Tick(state.upstreams, state.registry_options, SuspendAwareNow());
     if (state.upstreams.generation != before) {
       RefreshPools(state);
     }
-    const auto* from =
-        internal::FindNewer(state, &wire::digest::registry_version,
-                            state.upstreams.version, failures);
+    const auto* from = internal::FindNewer(
+        state, &wire::digest::registry_version,
+        registry::ToInteger(state.upstreams.version), failures);
     if (timer.HasLasted(from, internal::CopyDelay(state))) {
       const bool copied = co_await internal::CopyRegistry(state, *from);
       failures += copied ? 0 : 1;
@@ -488,11 +507,12 @@
 
 std::string EncodeRegistry(const edge_state& state, std::string_view target) {
   const auto changes = registry::ChangesSince(
-      state.upstreams, internal::ParseSince(target), SuspendAwareNow());
+      state.upstreams, registry::store_version{internal::ParseSince(target)},
+      SuspendAwareNow());
   wire::upstream_registry out;
-  out.set_since(changes.since);
-  out.set_version(changes.version);
-  out.set_changed_version(changes.changed_version);
+  out.set_since(registry::ToInteger(changes.since));
+  out.set_version(registry::ToInteger(changes.version));
+  out.set_changed_version(registry::ToInteger(changes.changed_version));
   for (const auto& upstream : changes.updated) {
     *out.add_entries() = internal::Encode(upstream);
   }
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -12,8 +12,11 @@
 
 void Put(upstream_set& state,
          upstream registration,
-         std::uint64_t version,
+         store_version version,
          std::optional<mono_time> drop_at) {
+  if (!drop_at) {
+    state.removed.erase(registration.id);
+  }
   auto& held = state.by_id[registration.id];
   const bool is_same = held.entry && *held.entry == registration;
   if (is_same && held.drop_at == drop_at) {
@@ -29,13 +32,40 @@
   ++state.generation;
 }
 
-void Erase(upstream_set& state, const std::string& id) {
-  state.generation += state.by_id.erase(id);
+/** @brief Returns whether a listed registration may be one that was removed
+ * after the copy was taken from which the store returned. */
+bool MayBeRemoved(const upstream_set& state, const change& listed) {
+  const auto removed = state.removed.find(listed.id);
+  return removed != state.removed.end() &&
+         removed->second.started_at_ms == listed.entry->started_at_ms &&
+         listed.version <= state.era_began_at;
+}
+
+/** @brief Drops an upstream and remembers that its registration was removed. */
+void Erase(upstream_set& state, const std::string& id, mono_time now) {
+  const auto found = state.by_id.find(id);
+  if (found == state.by_id.end()) {
+    return;
+  }
+  state.removed[id] = {found->second.entry->started_at_ms, now};
+  state.by_id.erase(found);
+  ++state.generation;
+}
+
+/** @brief Notes that the store has begun a new era if a version belongs to one.
+ * @return True if it has. */
+bool BeginEra(upstream_set& state, store_version version) {
+  const bool is_first = state.version == store_version{};
+  if (is_first || EraOf(version) <= EraOf(state.version)) {
+    return false;
+  }
+  state.era_began_at = version;
+  return true;
 }
 
 void RecordRemoval(upstream_set& state,
                    const std::string& id,
-                   std::uint64_t version) {
+                   store_version version) {
   state.changed_version = std::max(state.changed_version, version);
   state.removals.emplace(version, id);
   while (state.removals.size() > kMaxRemovals) {
@@ -47,7 +77,7 @@
 void OnRemoved(upstream_set& state,
                const options& settings,
                const std::string& id,
-               std::uint64_t version,
+               store_version version,
                mono_time now) {
   const auto found = state.by_id.find(id);
   if (found == state.by_id.end()) {
@@ -57,7 +87,7 @@
       state.store_recovered_at &&
       now < *state.store_recovered_at + settings.reregistration_grace;
   if (!may_register_again) {
-    Erase(state, id);
+    Erase(state, id, now);
     RecordRemoval(state, id, version);
     return;
   }
@@ -97,16 +127,19 @@
 void OnListing(upstream_set& state,
                const options& settings,
                std::vector<change> listing,
-               std::uint64_t version,
+               store_version version,
                mono_time now) {
   if (version < state.version) {
     return;
   }
   const auto generation = state.generation;
+  if (internal::BeginEra(state, version)) {
+    OnStoreRecovered(state, now);
+  }
   state.version = version;
   std::set<std::string, std::less<>> listed;
   for (auto& each : listing) {
-    if (each.entry) {
+    if (each.entry && !internal::MayBeRemoved(state, each)) {
       listed.insert(each.id);
       internal::Put(state, *std::move(each.entry), each.version, std::nullopt);
     }
@@ -129,12 +162,12 @@
 }
 
 update ChangesSince(const upstream_set& state,
-                    std::uint64_t since,
+                    store_version since,
                     mono_time now) {
   update out;
   out.version = state.version;
   out.changed_version = state.changed_version;
-  out.since = since >= state.removals_pruned_to ? since : 0;
+  out.since = since >= state.removals_pruned_to ? since : store_version{};
   for (const auto& [id, held] : state.by_id) {
     if (held.version <= out.since) {
       continue;
@@ -148,7 +181,7 @@
     out.updated.push_back(std::move(each));
   }
   for (auto each = state.removals.upper_bound(out.since);
-       each != state.removals.end() && out.since > 0; ++each) {
+       each != state.removals.end() && out.since != store_version{}; ++each) {
     out.gone.push_back(each->second);
   }
   return out;
@@ -158,9 +191,11 @@
   if (received.version <= state.version || received.since > state.version) {
     return false;
   }
+  internal::BeginEra(state, received.version);
   std::set<std::string, std::less<>> removed(received.gone.begin(),
                                              received.gone.end());
-  if (received.since == 0) {
+  const bool is_complete = received.since == store_version{};
+  if (is_complete) {
     for (const auto& [id, held] : state.by_id) {
       removed.insert(id);
     }
@@ -169,7 +204,7 @@
   }
   for (auto& each : received.updated) {
     removed.erase(each.entry.id);
-    if (each.version > state.version || received.since == 0) {
+    if (each.version > state.version || is_complete) {
       std::optional<mono_time> drop_at;
       if (each.dropped_after) {
         drop_at = now + *each.dropped_after;
@@ -178,8 +213,8 @@
     }
   }
   for (const auto& id : removed) {
-    internal::Erase(state, id);
-    if (received.since > 0) {
+    internal::Erase(state, id, now);
+    if (!is_complete) {
       internal::RecordRemoval(state, id, received.version);
     }
   }
@@ -189,15 +224,18 @@
   return true;
 }
 
-void Tick(upstream_set& state, mono_time now) {
-  std::vector<std::pair<std::string, std::uint64_t>> dropped;
+void Tick(upstream_set& state, const options& settings, mono_time now) {
+  std::erase_if(state.removed, [&](const auto& item) {
+    return now - item.second.removed_at > settings.max_copy_age;
+  });
+  std::vector<std::pair<std::string, store_version>> dropped;
   for (const auto& [id, held] : state.by_id) {
     if (held.drop_at && *held.drop_at <= now) {
       dropped.emplace_back(id, held.version);
     }
   }
   for (const auto& [id, version] : dropped) {
-    internal::Erase(state, id);
+    internal::Erase(state, id, now);
     internal::RecordRemoval(state, id, version);
   }
 }
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -12,6 +12,7 @@
 
 #include "base/time.h"
 #include "registry/fwd.h"
+#include "registry/store_version.h"
 
 namespace mimosadeck::registry {
 
@@ -41,13 +42,16 @@
    * store's recovery.
    */
   std::chrono::milliseconds reregistration_grace{2200};
+  /** Age of the oldest copy from which the store may return; a removed
+   * registration that such a copy still holds is not used. */
+  std::chrono::milliseconds max_copy_age{60000};
 };
 
 /** @brief A change of one registration, in the order of the store. */
 struct change {
   std::string id;
-  /** Version of the store after the change; rises with each change. */
-  std::uint64_t version{};
+  /** Version of the store after the change. */
+  store_version version{};
   /** Unset if the registration was removed or cannot be decoded. */
   std::optional<upstream> entry;
 };
@@ -57,12 +61,19 @@
   std::shared_ptr<const upstream> entry;
   /** Version of its last change of content; rewriting equal content keeps it.
    */
-  std::uint64_t version{};
+  store_version version{};
   /** Set if the registration was removed: the upstream is dropped at this time.
    */
   std::optional<mono_time> drop_at;
 };
 
+/** @brief An upstream whose registration was removed. */
+struct removed_upstream {
+  /** Start of the incarnation; see upstream::started_at_ms. */
+  std::uint64_t started_at_ms{};
+  mono_time removed_at;
+};
+
 /**
  * @brief The upstreams registered at one process.
  *
@@ -73,18 +84,25 @@
 struct upstream_set {
   std::map<std::string, registered, std::less<>> by_id;
   /** Every change up to this version of the store is applied. */
-  std::uint64_t version{};
+  store_version version{};
   /**
    * Version of the last change of content. Upstreams rewrite their registration
    * with each heartbeat, which other processes need not copy.
    */
-  std::uint64_t changed_version{};
+  store_version changed_version{};
   /** Removed ids by the version of their removal; the oldest are pruned. */
-  std::multimap<std::uint64_t, std::string> removals;
+  std::multimap<store_version, std::string> removals;
   /** Removals up to this version may be missing from `removals`. */
-  std::uint64_t removals_pruned_to{};
-  /** Time at which the store last recovered from an outage. */
+  store_version removals_pruned_to{};
+  /** Time at which the store last recovered from an outage, or returned from an
+   * older copy. */
   std::optional<mono_time> store_recovered_at;
+  /** Upstreams whose registrations were removed, by id, until they register
+   * again. */
+  std::map<std::string, removed_upstream, std::less<>> removed;
+  /** First listing of the current era. Registrations up to it may be those of
+   * the copy from which the store returned. */
+  store_version era_began_at{};
   /** Rises with each change of the result of UsableUpstreams. */
   std::uint64_t generation{};
 };
@@ -107,18 +125,24 @@
 /**
  * @brief Applies a complete listing, unless a newer version is held. Upstreams
  * missing from it are handled as removed.
+ *
+ * The first listing of a new era is one of a store that returned from an older
+ * copy. What was registered since the copy is missing until it is written
+ * again, so the grace begins; what was removed since is listed once more, and
+ * is used only when it is written again.
+ *
  * @param version Version of the store at which the listing was read.
  */
 void OnListing(upstream_set& state,
                const options& settings,
                std::vector<change> listing,
-               std::uint64_t version,
+               store_version version,
                mono_time now);
 
 /** @brief A registration as copied from one process to another. */
 struct copied {
   upstream entry;
-  std::uint64_t version{};
+  store_version version{};
   /** Time until the upstream is dropped; unset if it stays in use. */
   std::optional<std::chrono::milliseconds> dropped_after;
 };
@@ -126,10 +150,10 @@
 /** @brief Changes between two versions. */
 struct update {
   /** Version to which the changes apply; 0 if they are the complete set. */
-  std::uint64_t since{};
-  std::uint64_t version{};
+  store_version since{};
+  store_version version{};
   /** Version of the last change of content. */
-  std::uint64_t changed_version{};
+  store_version changed_version{};
   std::vector<copied> updated;
   /** Ids of removed upstreams. */
   std::vector<std::string> gone;
@@ -138,7 +162,7 @@
 /** @brief Returns the changes since a version, or the complete set if removals
  * since then were pruned. */
 [[nodiscard]] update ChangesSince(const upstream_set& state,
-                                  std::uint64_t since,
+                                  store_version since,
                                   mono_time now);
 
 /**
@@ -147,8 +171,8 @@
  */
 bool Adopt(upstream_set& state, update received, mono_time now);
 
-/** @brief Drops upstreams whose grace expired. */
-void Tick(upstream_set& state, mono_time now);
+/** @brief Drops upstreams whose grace expired, and old removals. */
+void Tick(upstream_set& state, const options& settings, mono_time now);
 
 /** @brief Returns the upstreams of a service that accept new work. */
 [[nodiscard]] std::vector<std::shared_ptr<const upstream>> UsableUpstreams(
--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -15,6 +15,7 @@
 namespace asio = boost::asio;
 namespace infra = mimosadeck::infra;
 namespace platform = mimosadeck::platform;
+namespace registry = mimosadeck::registry;
 
 constexpr std::chrono::milliseconds kWait{100};
 constexpr auto kEntry =
@@ -194,6 +195,43 @@
   BOOST_TEST(std::get<platform::manifest_update>(result).text == "three");
 }
 
+// Guards against changes of a store that went back which are taken for those
+// since the version that was read: the number stands for another write now.
+BOOST_AUTO_TEST_CASE(next_era_leads_to_a_listing_even_at_the_same_version) {
+  store.TakeCopy();
+  store.Put("servers", "a", kEntry);
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
+  const auto version = store.Version();
+  store.ReturnFromCopy();
+  store.Put("servers", "b", kEntry);
+  BOOST_REQUIRE(store.Version() == version);
+  const auto result = Await(client.NextUpstreams(kWait));
+  BOOST_REQUIRE(Is<platform::upstream_listing>(result));
+  const auto& listing = std::get<platform::upstream_listing>(result);
+  BOOST_TEST(registry::EraOf(listing.version) == 2);
+  BOOST_TEST(registry::NumberOf(listing.version) == version);
+  BOOST_REQUIRE(listing.entries.size() == 1);
+  BOOST_TEST(listing.entries.front().id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(response_of_an_earlier_era_or_without_one_is_a_failure) {
+  store.Put("servers", "a", kEntry);
+  store.ReturnFromCopy();
+  store.Put("servers", "a", kEntry);
+  static_cast<void>(Await(client.NextUpstreams(kWait)));
+  for (const auto* era : {"1", "", "x", "-2", "99999999999999999999"}) {
+    store.stated_era = era;
+    BOOST_TEST_CONTEXT("era " << era) {
+      BOOST_TEST(
+          Is<platform::store_failure>(Await(client.NextUpstreams(kWait))));
+      BOOST_TEST(Is<infra::unavailable>(Send(infra::read_row{"lease"})));
+    }
+  }
+  store.stated_era.reset();
+  BOOST_TEST(
+      Is<platform::upstream_changes>(Await(client.NextUpstreams(kWait))));
+}
+
 // Guards against losing changes that were read before a failure.
 BOOST_AUTO_TEST_CASE(reading_again_repeats_what_was_read) {
   store.Put("op", "config", "one");
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -121,7 +121,7 @@
       co_return;
   }
   response = co_await Respond(request);
-  response.fields["store-era"] = std::to_string(era_);
+  response.fields["store-era"] = stated_era.value_or(std::to_string(era_));
   co_await exchange.Respond(std::move(response));
 }
 
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -84,6 +85,8 @@
 
   /** Fault shown until it is set to another value. */
   store_fault fault{store_fault::none};
+  /** Era that responses state instead of the real one. */
+  std::optional<std::string> stated_era;
   /** Highest fencing number in the reports received. */
   std::uint64_t highest_fencing{};
   std::vector<usage_report> reports;
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -8,6 +8,7 @@
 using namespace std::chrono_literals;
 using mimosadeck::mono_time;
 namespace registry = mimosadeck::registry;
+using registry::store_version;
 
 registry::upstream MakeUpstream(const std::string& id) {
   registry::upstream out;
@@ -25,18 +26,21 @@
   mono_time now{100s};
 
   two_upstreams() {
-    registry::OnListing(
-        state, settings,
-        {{"a", 1, MakeUpstream("a")}, {"b", 2, MakeUpstream("b")}}, 10, now);
+    registry::OnListing(state, settings,
+                        {{"a", store_version{1}, MakeUpstream("a")},
+                         {"b", store_version{2}, MakeUpstream("b")}},
+                        store_version{10}, now);
   }
 
   void Write(const registry::upstream& registration, std::uint64_t version) {
-    registry::OnChanges(state, settings,
-                        {{registration.id, version, registration}}, now);
+    registry::OnChanges(
+        state, settings,
+        {{registration.id, store_version{version}, registration}}, now);
   }
 
   void Remove(const std::string& id, std::uint64_t version) {
-    registry::OnChanges(state, settings, {{id, version, std::nullopt}}, now);
+    registry::OnChanges(state, settings,
+                        {{id, store_version{version}, std::nullopt}}, now);
   }
 
   std::vector<std::string> Ids() const { return IdsOf(state); }
@@ -96,11 +100,12 @@
 BOOST_AUTO_TEST_CASE(
     registration_expired_in_outage_stays_until_the_grace_ends) {
   registry::OnStoreRecovered(state, now);
-  registry::OnListing(state, settings, {{"b", 2, MakeUpstream("b")}}, 11,
-                      now + 10ms);
-  registry::Tick(state, now + 2s);
+  registry::OnListing(state, settings,
+                      {{"b", store_version{2}, MakeUpstream("b")}},
+                      store_version{11}, now + 10ms);
+  registry::Tick(state, settings, now + 2s);
   BOOST_TEST(registry::UsableUpstreams(state, "pool").size() == 2);
-  registry::Tick(state, now + settings.reregistration_grace);
+  registry::Tick(state, settings, now + settings.reregistration_grace);
   BOOST_TEST(registry::UsableUpstreams(state, "pool").size() == 1);
 }
 
@@ -109,7 +114,7 @@
   now += 10ms;
   Remove("a", 11);
   Write(MakeUpstream("a"), 12);
-  registry::Tick(state, now + 10s);
+  registry::Tick(state, settings, now + 10s);
   BOOST_TEST(registry::UsableUpstreams(state, "pool").size() == 2);
 }
 
@@ -138,14 +143,17 @@
 
 BOOST_AUTO_TEST_CASE(changes_of_one_transaction_are_all_applied) {
   registry::OnChanges(state, settings,
-                      {{"c", 11, MakeUpstream("c")}, {"a", 11, std::nullopt}},
+                      {{"c", store_version{11}, MakeUpstream("c")},
+                       {"a", store_version{11}, std::nullopt}},
                       now);
   BOOST_TEST(Ids() == (strings{"b", "c"}), boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(older_listing_is_ignored) {
   Write(MakeUpstream("c"), 12);
-  registry::OnListing(state, settings, {{"a", 1, MakeUpstream("a")}}, 11, now);
+  registry::OnListing(state, settings,
+                      {{"a", store_version{1}, MakeUpstream("a")}},
+                      store_version{11}, now);
   BOOST_TEST(Ids().size() == 3);
 }
 
@@ -162,7 +170,7 @@
 
   void CheckEqual() const {
     BOOST_TEST(IdsOf(follower) == Ids(), boost::test_tools::per_element());
-    BOOST_TEST(follower.version == state.version);
+    BOOST_TEST((follower.version == state.version));
     for (const auto& [id, held] : state.by_id) {
       BOOST_TEST((*follower.by_id.at(id).entry == *held.entry));
     }
@@ -201,8 +209,8 @@
   for (std::uint64_t version = 11; version < 50; ++version) {
     Write(MakeUpstream("a"), version);
   }
-  BOOST_TEST(state.version == 49);
-  BOOST_TEST(state.changed_version == before);
+  BOOST_TEST((state.version == store_version{49}));
+  BOOST_TEST((state.changed_version == before));
   const auto update = registry::ChangesSince(state, follower.version, now);
   BOOST_TEST(update.updated.empty());
 }
@@ -213,13 +221,13 @@
   draining.draining = true;
   Write(draining, 20);
   Write(MakeUpstream("b"), 30);
-  BOOST_TEST(state.changed_version == 20);
-  BOOST_TEST(follower.version < state.changed_version);
+  BOOST_TEST((state.changed_version == store_version{20}));
+  BOOST_TEST((follower.version < state.changed_version));
   Follow();
-  BOOST_TEST(follower.version >= state.changed_version);
-  BOOST_TEST(follower.changed_version == 20);
+  BOOST_TEST((follower.version >= state.changed_version));
+  BOOST_TEST((follower.changed_version == store_version{20}));
   Remove("b", 40);
-  BOOST_TEST(state.changed_version == 40);
+  BOOST_TEST((state.changed_version == store_version{40}));
   Follow();
   CheckEqual();
 }
@@ -229,11 +237,11 @@
   Follow();
   registry::OnStoreRecovered(state, now);
   Remove("a", 20);
-  BOOST_TEST(state.changed_version == 20);
+  BOOST_TEST((state.changed_version == store_version{20}));
   Follow();
   BOOST_TEST(follower.by_id.at("a").drop_at.has_value());
   Write(MakeUpstream("a"), 30);
-  BOOST_TEST(state.changed_version == 30);
+  BOOST_TEST((state.changed_version == store_version{30}));
   Follow();
   BOOST_TEST(!follower.by_id.at("a").drop_at.has_value());
 }
@@ -241,7 +249,7 @@
 BOOST_AUTO_TEST_CASE(update_that_is_not_newer_is_ignored) {
   Follow();
   BOOST_TEST(!Follow());
-  const auto old = registry::ChangesSince(state, 0, now);
+  const auto old = registry::ChangesSince(state, store_version{}, now);
   Write(MakeUpstream("c"), 11);
   Follow();
   BOOST_TEST(!registry::Adopt(follower, old, now));
@@ -251,7 +259,7 @@
 BOOST_AUTO_TEST_CASE(update_that_starts_after_the_held_version_is_ignored) {
   Write(MakeUpstream("c"), 11);
   Write(MakeUpstream("d"), 12);
-  const auto late = registry::ChangesSince(state, 11, now);
+  const auto late = registry::ChangesSince(state, store_version{11}, now);
   BOOST_TEST(!registry::Adopt(follower, late, now));
 }
 
@@ -263,7 +271,8 @@
     Remove(id, 12 + 2 * i);
   }
   Remove("a", 5000);
-  BOOST_TEST(registry::ChangesSince(state, follower.version, now).since == 0);
+  BOOST_TEST((registry::ChangesSince(state, follower.version, now).since ==
+              store_version{}));
   BOOST_TEST(Follow());
   CheckEqual();
 }
@@ -274,7 +283,7 @@
   Remove("a", 11);
   Follow();
   CheckEqual();
-  registry::Tick(follower, now + settings.reregistration_grace);
+  registry::Tick(follower, settings, now + settings.reregistration_grace);
   BOOST_TEST(IdsOf(follower) == strings{"b"}, boost::test_tools::per_element());
 }
 
@@ -283,11 +292,143 @@
   registry::OnStoreRecovered(state, now);
   Remove("a", 11);
   now += settings.reregistration_grace;
-  registry::Tick(state, now);
+  registry::Tick(state, settings, now);
   Follow();
   CheckEqual();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A store that returned from a copy taken at version 5. */
+struct returned_store : leader_and_follower {
+  static store_version InNextEra(std::uint64_t number) {
+    return registry::MakeStoreVersion(1, number).value();
+  }
+
+  void List(std::vector<registry::change> rows, std::uint64_t number) {
+    registry::OnListing(state, settings, std::move(rows), InNextEra(number),
+                        now);
+  }
+
+  void WriteInNextEra(const registry::upstream& registration,
+                      std::uint64_t number) {
+    registry::OnChanges(state, settings,
+                        {{registration.id, InNextEra(number), registration}},
+                        now);
+  }
+
+  static registry::upstream Draining(const std::string& id) {
+    auto out = MakeUpstream(id);
+    out.draining = true;
+    return out;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(eras, returned_store)
+
+BOOST_AUTO_TEST_CASE(store_version_orders_by_era_and_then_by_number) {
+  BOOST_TEST((InNextEra(0) > store_version{registry::kMaxNumber}));
+  BOOST_TEST((InNextEra(2) > InNextEra(1)));
+  BOOST_TEST(registry::EraOf(InNextEra(7)) == 1);
+  BOOST_TEST(registry::NumberOf(InNextEra(7)) == 7);
+  BOOST_TEST(!registry::MakeStoreVersion(0, registry::kMaxNumber + 1));
+  BOOST_TEST(!registry::MakeStoreVersion(registry::kMaxEra + 1, 0));
+}
+
+// Guards against ignoring the registrations of a store that went back until
+// its versions have passed the highest one seen.
+BOOST_AUTO_TEST_CASE(lower_version_of_the_next_era_is_applied) {
+  List({{"a", InNextEra(1), MakeUpstream("a")},
+        {"b", InNextEra(2), MakeUpstream("b")}},
+       5);
+  WriteInNextEra(Draining("a"), 6);
+  BOOST_TEST(state.by_id.at("a").entry->draining);
+  BOOST_TEST((state.version == InNextEra(6)));
+}
+
+BOOST_AUTO_TEST_CASE(late_change_of_the_era_before_is_ignored) {
+  List({{"a", InNextEra(1), MakeUpstream("a")}}, 5);
+  Write(Draining("a"), 400);
+  BOOST_TEST(!state.by_id.at("a").entry->draining);
+}
+
+// Guards against dropping what was registered after the copy was taken, before
+// it can register again.
+BOOST_AUTO_TEST_CASE(registration_that_the_copy_lacks_stays_for_the_grace) {
+  List({{"a", InNextEra(1), MakeUpstream("a")}}, 5);
+  BOOST_TEST(registry::UsableUpstreams(state, "pool").size() == 2);
+  registry::Tick(state, settings, now + settings.reregistration_grace);
+  BOOST_TEST(Ids() == strings{"a"}, boost::test_tools::per_element());
+}
+
+// Guards against using an upstream again that was removed after the copy was
+// taken.
+BOOST_AUTO_TEST_CASE(removed_registration_of_the_copy_waits_for_a_new_one) {
+  Remove("a", 11);
+  List({{"a", InNextEra(1), MakeUpstream("a")},
+        {"b", InNextEra(2), MakeUpstream("b")}},
+       5);
+  BOOST_TEST(Ids() == strings{"b"}, boost::test_tools::per_element());
+  WriteInNextEra(MakeUpstream("a"), 6);
+  BOOST_TEST(Ids() == (strings{"a", "b"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(
+    registration_written_before_the_second_listing_of_an_era_is_used) {
+  Remove("a", 11);
+  List({{"b", InNextEra(2), MakeUpstream("b")}}, 5);
+  List({{"a", InNextEra(6), MakeUpstream("a")},
+        {"b", InNextEra(2), MakeUpstream("b")}},
+       7);
+  BOOST_TEST(Ids() == (strings{"a", "b"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(next_incarnation_of_a_removed_upstream_is_used) {
+  Remove("a", 11);
+  auto restarted = MakeUpstream("a");
+  restarted.started_at_ms = 2;
+  List({{"a", InNextEra(4), restarted}}, 5);
+  BOOST_TEST(state.by_id.contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(removal_is_forgotten_after_the_oldest_copy) {
+  Remove("a", 11);
+  registry::Tick(state, settings, now + settings.max_copy_age + 1ms);
+  List({{"a", InNextEra(1), MakeUpstream("a")}}, 5);
+  BOOST_TEST(state.by_id.contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(first_listing_of_a_process_begins_no_grace) {
+  registry::upstream_set fresh;
+  registry::OnListing(fresh, settings, {{"a", InNextEra(1), MakeUpstream("a")}},
+                      InNextEra(5), now);
+  BOOST_TEST(!fresh.store_recovered_at);
+}
+
+// Guards against followers that ignore a leader in the next era, since its
+// version number is lower.
+BOOST_AUTO_TEST_CASE(follower_copies_the_complete_set_of_the_next_era) {
+  Write(MakeUpstream("c"), 300);
+  Follow();
+  List({{"a", InNextEra(1), MakeUpstream("a")},
+        {"b", InNextEra(2), MakeUpstream("b")}},
+       5);
+  WriteInNextEra(Draining("a"), 6);
+  BOOST_TEST((state.changed_version > follower.version));
+  BOOST_TEST(Follow());
+  CheckEqual();
+  BOOST_TEST(follower.by_id.at("c").drop_at.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(follower_in_the_next_era_ignores_a_leader_in_the_former) {
+  Follow();
+  const auto former = registry::ChangesSince(state, store_version{}, now);
+  List({{"a", InNextEra(1), Draining("a")}}, 5);
+  Follow();
+  BOOST_TEST(!registry::Adopt(follower, former, now));
+  BOOST_TEST(follower.by_id.at("a").entry->draining);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/system/odd_peers_system_test.cc
+++ b/test/system/odd_peers_system_test.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include "registry/store_version.h"
 #include "system/one_entry.h"
 #include "wire/digest.pb.h"
 
@@ -17,6 +18,7 @@
 using namespace mimosadeck::system_test;
 using asio::ip::udp;
 namespace net = mimosadeck::net;
+namespace registry = mimosadeck::registry;
 namespace wire = mimosadeck::wire;
 
 constexpr std::size_t kMaxDatagramBytes = 60000;
@@ -46,6 +48,14 @@
           std::string(20000, '1')};
 }
 
+/** @brief Returns a version of the store stand-in's first era, as messages
+ * between entries hold it. */
+std::uint64_t InStoreEra(std::uint64_t number) {
+  constexpr std::uint64_t kFirstEra = 1;
+  return registry::ToInteger(
+      registry::MakeStoreVersion(kFirstEra, number).value());
+}
+
 /** @brief Fixture with another entry, which a socket stands in for. */
 struct odd_peers : one_entry {
   udp::socket peer{io, udp::endpoint(asio::ip::address_v4::loopback(), 0)};
@@ -198,7 +208,7 @@
     auto content = Digest("odd-" + std::to_string(number++));
     content.mutable_digest()->set_control_address(address);
     content.mutable_digest()->set_manifest_version(7);
-    content.mutable_digest()->set_registry_version(1U << 20U);
+    content.mutable_digest()->set_registry_version(InStoreEra(1U << 20U));
     SendTo(content);
     io.restart();
     io.run_for(150ms);
@@ -224,20 +234,21 @@
 
 // Guards against upstreams in a copied registry that nothing can be sent to.
 BOOST_AUTO_TEST_CASE(odd_upstreams_in_a_copied_registry_are_not_used) {
-  constexpr std::uint64_t kVersion = 100;
+  const auto version = InStoreEra(100);
   upstream_stand_in third{io, "u3"};
   wire::upstream_registry copy;
-  copy.set_version(kVersion);
-  copy.set_changed_version(kVersion);
-  const auto add = [&copy](const std::string& id, const std::string& address,
-                           std::uint32_t slots) {
+  copy.set_version(version);
+  copy.set_changed_version(version);
+  const auto add = [&copy, version](const std::string& id,
+                                    const std::string& address,
+                                    std::uint32_t slots) {
     auto& out = *copy.add_entries();
     out.set_id(id);
     out.set_service("pool");
     out.set_address(address);
     out.set_slots(slots);
     out.set_started_at_ms(5);
-    out.set_version(kVersion);
+    out.set_version(version);
   };
   add("u3", third.Address(), 4);
   add("no slots", first.Address(), 0);
@@ -257,7 +268,7 @@
   BOOST_TEST(Eventually([&] {
     auto content = Digest("other");
     content.mutable_digest()->set_control_address(other.Address());
-    content.mutable_digest()->set_registry_version(kVersion);
+    content.mutable_digest()->set_registry_version(version);
     SendTo(content);
     Call("/safe/x");
     return !third.runs.empty();
