--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -81,6 +81,8 @@
                mono_time now) {
   const auto found = state.by_id.find(id);
   if (found == state.by_id.end()) {
+    // A process that copies from this one may hold the upstream.
+    RecordRemoval(state, id, version);
     return;
   }
   const bool may_register_again =
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -203,6 +203,18 @@
   CheckEqual();
 }
 
+// Guards against a follower that keeps an upstream for good, because its leader
+// saw the removal only and the follower skips versions up to the leader's.
+BOOST_AUTO_TEST_CASE(removal_of_an_upstream_that_the_leader_lacks_is_copied) {
+  Follow();
+  registry::OnChanges(follower, settings,
+                      {{"c", store_version{11}, MakeUpstream("c")}}, now);
+  Remove("c", 12);
+  Write(MakeUpstream("d"), 13);
+  BOOST_TEST(Follow());
+  CheckEqual();
+}
+
 BOOST_AUTO_TEST_CASE(registration_rewritten_with_equal_content_is_not_copied) {
   Follow();
   const auto before = state.changed_version;
