--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -10,22 +10,6 @@
 namespace internal {
 namespace {
 
-/** Store feed waits per contact bound, so that a lost response is noticed
- * before the agreed bounds apply again. */
-constexpr int kFeedWaitsPerContactBound = 2;
-/** Feed wait of entries that do not watch the store: they copy from the
- * watchers what they miss. */
-constexpr std::chrono::milliseconds kBackupFeedWait{8000};
-/** Pause between two calls of a watcher; collects bursts of changes. */
-constexpr std::chrono::milliseconds kWatcherPollInterval{250};
-/** Pause between two calls of an entry that does not watch the store, as a
- * ratio of the time after which the agreed bounds apply again: it then notices
- * removed upstreams in time even if all watchers fail. */
-constexpr double kBackupPollRatio = 0.4;
-/** Interval at which the versions of other entries are checked. */
-constexpr std::chrono::milliseconds kVersionCheckInterval{100};
-/** The store usually delivers a new version within this time. */
-constexpr std::chrono::milliseconds kStoreHeadStart{150};
 /** Timeout for connecting to another entry and for its response head. */
 constexpr std::chrono::milliseconds kPeerHeadTimeout{500};
 /** Timeout for the response body: an entry with a slow link may send a large
@@ -183,20 +167,10 @@
                                 SelfInfo(state), longest, SuspendAwareNow());
 }
 
-/** @brief Returns how long a feed call may wait in the store for a change. */
-std::chrono::milliseconds FeedWait(const edge_state& state) {
-  return WatchesStore(state) ? state.machine.bounds.contact_recovery_time /
-                                   kFeedWaitsPerContactBound
-                             : kBackupFeedWait;
-}
-
-/** @brief Returns the pause between two calls for changed upstreams. */
-std::chrono::milliseconds PollInterval(const edge_state& state) {
-  if (WatchesStore(state)) {
-    return kWatcherPollInterval;
-  }
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      state.machine.bounds.contact_recovery_time * kBackupPollRatio);
+/** @brief Returns how this entry follows changes in the store. */
+fleet::following_pace Pace(const edge_state& state) {
+  return fleet::PaceOf(WatchesStore(state),
+                       state.machine.bounds.contact_recovery_time);
 }
 
 /** @brief Returns an entry that has a newer version than this one, or null. */
@@ -319,11 +293,6 @@
   co_return text.has_value();
 }
 
-/** @brief Returns how long another entry must be ahead before it is copied. */
-std::chrono::milliseconds CopyDelay(const edge_state& state) {
-  return FollowsStore(state) ? kStoreHeadStart : std::chrono::milliseconds(0);
-}
-
 /** @brief Measures how long other entries have had a newer version. */
 class lead_timer {
  public:
@@ -375,10 +344,11 @@
   state.platform.ReadManifestAgain();
   while (!state.stopping) {
     if (!FollowsStore(state)) {
-      co_await Sleep(internal::kVersionCheckInterval);
+      co_await Sleep(fleet::kVersionCheckInterval);
       continue;
     }
-    auto step = co_await state.platform.NextManifest(internal::FeedWait(state));
+    auto step =
+        co_await state.platform.NextManifest(internal::Pace(state).feed_wait);
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_failure>(&step)) {
       store.OnFailure(away->reason, now);
@@ -398,11 +368,11 @@
   while (!state.stopping) {
     if (!FollowsStore(state)) {
       state.store_followed = false;
-      co_await Sleep(internal::kVersionCheckInterval);
+      co_await Sleep(fleet::kVersionCheckInterval);
       continue;
     }
     auto step =
-        co_await state.platform.NextUpstreams(internal::FeedWait(state));
+        co_await state.platform.NextUpstreams(internal::Pace(state).feed_wait);
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_failure>(&step)) {
       store.OnFailure(away->reason, now);
@@ -452,7 +422,7 @@
     }
     state.store_followed = true;
     RefreshPools(state);
-    co_await Sleep(internal::PollInterval(state));
+    co_await Sleep(internal::Pace(state).poll_interval);
   }
 }
 
@@ -460,11 +430,11 @@
   internal::lead_timer timer;
   std::uint64_t failures = 0;
   while (!state.stopping) {
-    co_await Sleep(internal::kVersionCheckInterval);
+    co_await Sleep(fleet::kVersionCheckInterval);
     const auto* from =
         internal::FindNewer(state, &wire::digest::manifest_version,
                             state.table ? state.table->Version() : 0, failures);
-    if (timer.HasLasted(from, internal::CopyDelay(state))) {
+    if (timer.HasLasted(from, fleet::CopyDelay(FollowsStore(state)))) {
       const bool copied = co_await internal::CopyManifest(state, *from);
       failures += copied ? 0 : 1;
     }
@@ -475,7 +445,7 @@
   internal::lead_timer timer;
   std::uint64_t failures = 0;
   while (!state.stopping) {
-    co_await Sleep(internal::kVersionCheckInterval);
+    co_await Sleep(fleet::kVersionCheckInterval);
     const auto before = state.upstreams.generation;
     registry::Tick(state.upstreams, state.registry_options, SuspendAwareNow());
     if (state.upstreams.generation != before) {
@@ -484,7 +454,7 @@
     const auto* from = internal::FindNewer(
         state, &wire::digest::registry_version,
         registry::ToInteger(state.upstreams.version), failures);
-    if (timer.HasLasted(from, internal::CopyDelay(state))) {
+    if (timer.HasLasted(from, fleet::CopyDelay(FollowsStore(state)))) {
       const bool copied = co_await internal::CopyRegistry(state, *from);
       failures += copied ? 0 : 1;
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "fleet/clock.h"
 #include "fleet/fwd.h"
+#include "fleet/store_following.h"
 #include "fleet/work_table.h"
 #include "wire/digest.pb.h"
 
