--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -277,12 +277,8 @@
   out.set_members_known(
       static_cast<std::uint32_t>(state_.members.by_name.size()));
   out.set_store_followed(state_.store_followed);
-  if (state_.store_followed) {
-    const auto followed = now - state_.store_followed_since;
-    out.set_store_followed_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(followed)
-            .count()));
-  }
+  out.set_store_followed_ms(
+      static_cast<std::uint32_t>(StoreFollowedFor(state_).count()));
   out.set_registry_version(
       registry::ToInteger(state_.upstreams.changed_version));
   internal::FillWork(state_, out);
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -97,8 +97,11 @@
   /** This entry reads upstream changes directly from the store, and its last
    * read succeeded. */
   bool store_followed{};
-  /** When store_followed became true; undefined while it is false. */
+  /** Since when the store has answered without a break; undefined while
+   * store_followed is false. */
   mono_time store_followed_since;
+  /** When it last answered. */
+  mono_time store_answered_at;
 
   /** Upstreams and load of each service, by service name. */
   std::map<std::string, placement::pool, std::less<>> pools;
@@ -184,6 +187,11 @@
  * store instead of copying them from other entries. */
 [[nodiscard]] bool FollowsStore(const edge_state& state);
 
+/** @brief Returns for how long the store has answered this entry without a
+ * break; zero if its last answer is not recent. */
+[[nodiscard]] std::chrono::milliseconds StoreFollowedFor(
+    const edge_state& state);
+
 /** @brief Returns whether the registry is as recent as that of an entry which
  * reads the store. */
 [[nodiscard]] bool IsRegistryCurrent(const edge_state& state);
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -271,6 +271,15 @@
   return out;
 }
 
+void EndGrace(upstream_set& state, mono_time now) {
+  state.store_recovered_at.reset();
+  for (auto& [id, held] : state.by_id) {
+    if (held.drop_at) {
+      held.drop_at = now;
+    }
+  }
+}
+
 bool Adopt(upstream_set& state,
            const options& settings,
            update received,
@@ -290,6 +299,10 @@
     state.removals_pruned_to = received.version;
   }
   for (auto& each : received.updated) {
+    if (each.dropped_after && internal::IsRemoved(state, each.entry)) {
+      removed.insert(each.entry.id);
+      continue;
+    }
     removed.erase(each.entry.id);
     if (each.version > state.version || is_complete) {
       const auto known = internal::StandingOf(state, settings, each, now);
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -179,6 +179,14 @@
                                   store_version since,
                                   mono_time now);
 
+/**
+ * @brief Ends the grace after an outage, whether begun here or by the process
+ * that was copied: the store has been available for longer than it lasts.
+ *
+ * The next Tick() drops the upstreams that were kept for the grace.
+ */
+void EndGrace(upstream_set& state, mono_time now);
+
 /**
  * @brief Applies an update of another process.
  * @return False if it is not newer, or if it starts after the held version.
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -312,6 +312,50 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A process that was cut off from the store and keeps an upstream for its
+ * grace, and one that was not. */
+struct returned_leader : leader_and_follower {
+  returned_leader() {
+    Follow();
+    registry::OnStoreRecovered(state, settings, now);
+    Remove("a", 11);
+    BOOST_REQUIRE(state.by_id.at("a").drop_at.has_value());
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(grace_of_others, returned_leader)
+
+// Guards against using a removed upstream for the grace of an entry that
+// returns from a cut, on entries that were not cut off.
+BOOST_AUTO_TEST_CASE(copied_grace_ends_once_the_store_is_known_as_available) {
+  BOOST_TEST(Follow());
+  BOOST_REQUIRE(follower.by_id.at("a").drop_at.has_value());
+  registry::EndGrace(follower, now);
+  registry::Tick(follower, settings, now);
+  BOOST_TEST(IdsOf(follower) == strings{"b"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(removal_after_the_end_of_the_grace_is_final) {
+  registry::EndGrace(state, now);
+  Remove("b", 12);
+  registry::Tick(state, settings, now);
+  BOOST_TEST(Ids().empty());
+}
+
+// Guards against using an upstream again whose removal was seen here.
+BOOST_AUTO_TEST_CASE(upstream_known_as_removed_does_not_return_for_a_grace) {
+  registry::OnChanges(follower, settings,
+                      {{"a", store_version{11}, std::nullopt}}, now);
+  Write(MakeUpstream("c"), 12);
+  const auto complete = registry::ChangesSince(state, store_version{}, now);
+  BOOST_REQUIRE(complete.updated.size() == 3);
+  BOOST_TEST(registry::Adopt(follower, settings, complete, now));
+  BOOST_TEST(IdsOf(follower) == (strings{"b", "c"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 /** A store that returned from a copy taken at version 5. */
 struct returned_store : leader_and_follower {
   static store_version InNextEra(std::uint64_t number) {
