--- a/test/system/crashing_request_system_test.cc
+++ b/test/system/crashing_request_system_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "system/one_entry.h"
+#include "system/crashing_upstreams.h"
 
 namespace {
 
@@ -16,55 +16,19 @@
 /** Crashes after which a request is condemned. */
 constexpr std::size_t kCrashesToCondemn = 3;
 constexpr std::size_t kMaxSends = 6;
-/** Delay before crashed upstreams restart; real upstreams take longer. */
-constexpr auto kRestartTime = 1200ms;
-
 /** Time within which the entry distinguishes a healthy upstream from a replaced
  * one. */
 constexpr auto kInvestigationTime = 4000ms;
 /** Duration of a request that is running while equal requests are condemned. */
 constexpr auto kLongWorkTime = 2000ms;
 
-/** @brief Fixture with three upstreams that crash on requests to `/poison`. */
-struct crashing_upstreams : one_entry {
-  upstream_stand_in third{io, "u3"};
-
-  crashing_upstreams() {
-    store.Put("servers", "u3", third.Entry("ready"));
-    BOOST_REQUIRE(
-        Eventually([this] { return Shows("mimosadeck_upstreams", 3); }));
-  }
-
+/** @brief Fixture with upstreams that crash on requests to `/poison`. */
+struct poisoned_upstreams : crashing_upstreams {
   /** @brief Sets how upstreams end when they run a request to `/poison`. */
   void SetCrash(answer crash) {
-    for (auto* upstream : {&first, &second, &third}) {
-      upstream->choose = [crash](const net::http_request& request) {
-        return request.target.ends_with("/poison") ? crash : answer::good;
-      };
-    }
-  }
-
-  /** @brief Waits for a crash, then restarts the upstreams. */
-  void RestartUpstreams() {
-    Eventually([this] {
-      return !first.IsRunning() || !second.IsRunning() || !third.IsRunning();
+    ChooseAnswer([crash](const net::http_request& request) {
+      return request.target.ends_with("/poison") ? crash : answer::good;
     });
-    io.restart();
-    io.run_for(kRestartTime);
-    for (auto* upstream : {&first, &second, &third}) {
-      upstream->Restart();
-    }
-  }
-
-  std::size_t TotalRunCount() const { return RunCount() + third.runs.size(); }
-
-  /** @brief Returns whether the first sample of a metric has a value. */
-  bool Shows(const std::string& name, std::size_t value) {
-    const auto text = Get(control, "/metrics").body;
-    const auto at = text.find('\n' + name + '{');
-    const auto end = text.find('\n', at + 1);
-    return at != std::string::npos &&
-           text.substr(at, end - at).ends_with("} " + std::to_string(value));
   }
 
   /** @brief Sends a crashing request until the entry no longer forwards it. */
@@ -83,7 +47,7 @@
   }
 };
 
-BOOST_FIXTURE_TEST_SUITE(crashing_requests, crashing_upstreams)
+BOOST_FIXTURE_TEST_SUITE(crashing_requests, poisoned_upstreams)
 
 // Guards against counting several crashes of an upstream as one: during a store
 // outage, a restarted upstream is still listed under its old incarnation.
