--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -18,10 +18,6 @@
 /** Upstream crashes attributed to a request that condemn it. */
 constexpr std::uint32_t kCrashesToCondemn = 3;
 
-/** Age of an answer of the store that still shows that it is available: two
- * poll intervals of a watcher. */
-constexpr std::chrono::milliseconds kRecentAnswer{500};
-
 platform::client_options ClientOptions(
     const platform::machine_settings& machine) {
   platform::client_options out;
@@ -148,12 +144,10 @@
 }
 
 std::chrono::milliseconds StoreFollowedFor(const edge_state& state) {
-  if (!state.store_followed ||
-      SuspendAwareNow() - state.store_answered_at > internal::kRecentAnswer) {
-    return std::chrono::milliseconds(0);
-  }
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      state.store_answered_at - state.store_followed_since);
+  return state.store_followed
+             ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                   SuspendAwareNow() - state.store_followed_since)
+             : std::chrono::milliseconds(0);
 }
 
 bool IsRegistryCurrent(const edge_state& state) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -97,11 +97,8 @@
   /** This entry reads upstream changes directly from the store, and its last
    * read succeeded. */
   bool store_followed{};
-  /** Since when the store has answered without a break; undefined while
-   * store_followed is false. */
+  /** When store_followed became true; undefined while it is false. */
   mono_time store_followed_since;
-  /** When it last answered. */
-  mono_time store_answered_at;
 
   /** Upstreams and load of each service, by service name. */
   std::map<std::string, placement::pool, std::less<>> pools;
@@ -188,7 +185,7 @@
 [[nodiscard]] bool FollowsStore(const edge_state& state);
 
 /** @brief Returns for how long the store has answered this entry without a
- * break; zero if its last answer is not recent. */
+ * break; zero if it does not. */
 [[nodiscard]] std::chrono::milliseconds StoreFollowedFor(
     const edge_state& state);
 
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -15,9 +15,6 @@
 /** Timeout for the response body: an entry with a slow link may send a large
  * manifest to many others at once. */
 constexpr std::chrono::milliseconds kPeerBodyTimeout{2000};
-/** Upstreams renew their registrations about once a second, so a call that
- * takes longer may have lasted through an outage. */
-constexpr std::chrono::milliseconds kMaxAnswerDelay{1000};
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 constexpr std::string_view kSince = "?since=";
 
@@ -176,18 +173,6 @@
                        state.machine.bounds.contact_recovery_time);
 }
 
-/** @brief Records an answer of the store to this entry. */
-void OnStoreAnswered(edge_state& state, mono_time now) {
-  const bool may_have_been_away =
-      !state.store_followed || now - state.store_answered_at >
-                                   Pace(state).poll_interval + kMaxAnswerDelay;
-  if (may_have_been_away) {
-    state.store_followed_since = now;
-  }
-  state.store_answered_at = now;
-  state.store_followed = true;
-}
-
 /** @brief Returns whether the store has answered this entry or another one
  * without a break for a time up to now. */
 bool HasStoreAnsweredFor(const edge_state& state,
@@ -446,7 +431,10 @@
       internal::LogDifference(before, state.upstreams);
     }
     state.registry_synced_at = now;
-    internal::OnStoreAnswered(state, now);
+    if (!state.store_followed) {
+      state.store_followed_since = now;
+    }
+    state.store_followed = true;
     RefreshPools(state);
     co_await Sleep(internal::Pace(state).poll_interval);
   }
--- a/test/fleet/leaving_upstream_test.cc
+++ b/test/fleet/leaving_upstream_test.cc
@@ -123,7 +123,6 @@
   bool is_registry_read{};
   bool store_followed{};
   mono_time store_followed_since;
-  mono_time store_answered_at;
   mono_time started_at;
   std::optional<mono_time> store_lost_at;
   std::optional<std::uint64_t> cursor;
@@ -437,11 +436,9 @@
     entry.cursor = version;
     entry.cursor_era = store.era;
     entry.last_call_failed = false;
-    if (!entry.store_followed ||
-        now - entry.store_answered_at > PaceOf(entry).poll_interval + 1000ms) {
+    if (!entry.store_followed) {
       entry.store_followed_since = now;
     }
-    entry.store_answered_at = now;
     entry.store_followed = true;
     Learn(entry);
     entry.next_call_at = now + PaceOf(entry).poll_interval;
@@ -513,11 +510,9 @@
   }
 
   milliseconds StoreFollowedFor(const entry_model& entry) const {
-    if (!entry.store_followed || now - entry.store_answered_at > 500ms) {
-      return 0ms;
-    }
-    return std::chrono::duration_cast<milliseconds>(entry.store_answered_at -
-                                                    entry.store_followed_since);
+    return entry.store_followed ? std::chrono::duration_cast<milliseconds>(
+                                      now - entry.store_followed_since)
+                                : 0ms;
   }
 
   bool HasStoreAnsweredFor(const entry_model& entry, milliseconds time) const {
