--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -36,6 +36,9 @@
 /** Responses to other requests that are skipped on a connection. */
 constexpr int kMaxStrayResponses = 2;
 constexpr int kFirstServerError = 500;
+/** A prompt part that crashes upstreams does so when they begin to write the
+ * answer; one that is written for longer is not of it. */
+constexpr std::chrono::milliseconds kMaxTimeToCrash{1000};
 
 std::uint64_t ResponseMemoryLimit(const platform::machine_settings& machine) {
   return machine.memory_mb == 0
@@ -268,6 +271,7 @@
         co_return StopMisplacedRun();
       }
       RecordEventGap();
+      RecordIfLasting();
       RestartStallTimer();
       const bool is_written = co_await ForwardEvents(std::move(whole_events));
       if (!is_written) {
@@ -391,6 +395,7 @@
       return;
     }
     has_begun_ = true;
+    begun_at_ = steady::now();
     const auto elapsed = ElapsedSince(started_);
     if (!context_->time_to_first_answer) {
       context_->time_to_first_answer =
@@ -407,6 +412,58 @@
     }
   }
 
+  /** Returns for how long the answer has been running. */
+  [[nodiscard]] std::optional<std::chrono::milliseconds> BegunFor() const {
+    if (!begun_at_) {
+      return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() -
+                                                                 *begun_at_);
+  }
+
+  /** Records the prompt parts as served once the answer runs for longer than
+   * one that crashes its upstream. */
+  void RecordIfLasting() {
+    if (is_lasting_ || BegunFor() < kMaxTimeToCrash) {
+      return;
+    }
+    is_lasting_ = true;
+    RecordServedParts(state_, context_->part_names);
+  }
+
+  void RecordIfServed(const attempt_result& outcome) {
+    const auto* complete = std::get_if<complete_response>(&outcome);
+    const bool is_served = std::holds_alternative<stream_finished>(outcome) ||
+                           (complete && complete->is_success);
+    if (!is_served || is_lasting_) {
+      return;
+    }
+    // Such an end may be that of the upstream.
+    if (call_.EndsWithConnection()) {
+      Investigate("answer ended with its connection", false);
+      return;
+    }
+    RecordServedParts(state_, context_->part_names);
+  }
+
+  void Investigate(const std::string& reason, bool timed_out) {
+    broken_attempt broken;
+    broken.request_id = context_->caller_request.id;
+    broken.fingerprint = FingerprintOf(*context_);
+    broken.service = context_->service;
+    broken.upstream = selection_.incarnation;
+    broken.address = selection_.upstream->address;
+    broken.reason = reason;
+    broken.timed_out = timed_out;
+    if (!is_lasting_) {
+      broken.suspect_parts = context_->part_names;
+    }
+    broken.begun_for = BegunFor();
+    broken.sent_at = sent_at_;
+    broken.ended_at = SuspendAwareNow();
+    InvestigateBrokenAttempt(state_, std::move(broken));
+  }
+
   void ReportOutcome(placement::pool& pool, const attempt_result& outcome) {
     const auto now = SuspendAwareNow();
     const auto* failed = std::get_if<attempt_failure>(&outcome);
@@ -422,12 +479,9 @@
     }
     placement::OnOutcome(pool, state_.placement_options, selection_, observed,
                          ElapsedSince(started_), now);
+    RecordIfServed(outcome);
     if (failed && failed->end == attempt_end::broke_off) {
-      InvestigateBrokenAttempt(
-          state_, {context_->caller_request.id, FingerprintOf(*context_),
-                   context_->service, selection_.incarnation,
-                   selection_.upstream->address, failed->reason,
-                   failed->timed_out, now});
+      Investigate(failed->reason, failed->timed_out);
     }
   }
 
@@ -441,6 +495,9 @@
   steady::time_point started_;
   mono_time sent_at_;
   bool has_begun_{};
+  std::optional<steady::time_point> begun_at_;
+  /** The answer has been running for kMaxTimeToCrash. */
+  bool is_lasting_{};
 };
 
 }  // namespace
--- a/apps/mimosadeckd/edge/crashes.h
+++ b/apps/mimosadeckd/edge/crashes.h
@@ -1,7 +1,10 @@
 #ifndef APPS_MIMOSADECKD_EDGE_CRASHES_H_
 #define APPS_MIMOSADECKD_EDGE_CRASHES_H_
 
+#include <string_view>
+
 #include "mimosadeckd/edge/state.h"
+#include "wire/digest.pb.h"
 
 namespace mimosadeck::edge {
 
@@ -14,6 +17,23 @@
  */
 void InvestigateBrokenAttempt(edge_state& state, broken_attempt broken);
 
+/** @brief Records that an upstream served a request, which speaks for the parts
+ * of its prompt; see quarantine::OnPartsServed(). */
+void RecordServedParts(edge_state& state,
+                       const std::vector<std::string>& parts);
+
+/** @brief Adds the suspects that are due to a gossip message. */
+void AdvertiseSuspects(edge_state& state, wire::digest& out);
+
+/**
+ * @brief Merges the suspects of a gossip message.
+ * @param origin Name of the reporting entry, for the log.
+ */
+void MergeSuspects(
+    edge_state& state,
+    const google::protobuf::RepeatedPtrField<wire::suspect>& reports,
+    std::string_view origin);
+
 }  // namespace mimosadeck::edge
 
 #endif  // APPS_MIMOSADECKD_EDGE_CRASHES_H_
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -236,6 +236,8 @@
         internal::MillisecondsOrNone(context.expected_first_answer)},
        {"begun_ms", internal::MillisecondsOrNone(context.time_to_first_answer)},
        {"pause_ms", std::to_string(context.longest_event_gap.count())},
+       {"condemned_by",
+        context.condemned_by.empty() ? "none" : context.condemned_by},
        {"limited_upstreams", std::to_string(context.limited_upstreams)},
        {"stop_ms", internal::MillisecondsOrNone(context.arrived_in_stop)},
        {"long_prompt", context.has_long_prompt ? "yes" : "no"},
@@ -256,8 +258,7 @@
   if (context.progress.answer_started && !answer::CanResume(context.framer)) {
     return false;
   }
-  if (!state.quarantine.suspects.empty() &&
-      quarantine::IsCondemned(state.quarantine, FingerprintOf(context))) {
+  if (IsCondemned(state, context)) {
     return false;
   }
   if (ended == forwarding::attempt_end::not_connected) {
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "mimosadeckd/edge/crashes.h"
 #include "mimosadeckd/edge/peer_input.h"
 #include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/tasks.h"
@@ -77,30 +78,6 @@
   }
 }
 
-void FillSuspects(edge_state& state, wire::digest& out) {
-  const auto now = SuspendAwareNow();
-  const auto selected = quarantine::SelectSuspects(
-      state.quarantine, state.quarantine_options, now);
-  for (const auto* item : selected.selected) {
-    const auto& suspect = item->second;
-    auto& encoded = *out.add_suspects();
-    encoded.set_fingerprint(item->first);
-    encoded.set_condemned(suspect.condemned);
-    encoded.set_crashed_ms_ago(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - suspect.crashed_at)
-            .count()));
-    if (!suspect.condemned) {
-      encoded.mutable_crashes()->Assign(suspect.crashes.begin(),
-                                        suspect.crashes.end());
-    }
-  }
-  if (selected.omitted > 0) {
-    state.metrics.Count("mimosadeck_suspects_untold_total", "entry",
-                        state.machine.name);
-  }
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -174,9 +151,7 @@
 
 void gossip::OnSummary(wire::summary received) {
   DropOddMembers(received);
-  for (const auto& suspect : received.suspects()) {
-    OnSuspect(suspect, received.relay());
-  }
+  MergeSuspects(state_, received.suspects(), received.relay());
   for (const auto& upstream : received.leaving_upstreams()) {
     MarkLeaving(state_, upstream, received.relay());
   }
@@ -193,25 +168,6 @@
                    LocalTime(state_), SuspendAwareNow());
 }
 
-void gossip::OnSuspect(const wire::suspect& report, std::string_view origin) {
-  const auto now = SuspendAwareNow();
-  quarantine::suspect suspect;
-  suspect.crashes = {report.crashes().begin(), report.crashes().end()};
-  suspect.condemned = report.condemned();
-  suspect.crashed_at = now - std::chrono::milliseconds(report.crashed_ms_ago());
-  if (quarantine::Merge(state_.quarantine, state_.quarantine_options,
-                        report.fingerprint(), suspect, now)) {
-    telemetry::Log(telemetry::level::warning, "request_condemned",
-                   {{"fingerprint", report.fingerprint()}, {"origin", origin}});
-    // The sender has not condemned it, so the row may not exist yet.
-    if (!report.condemned() && quarantine::IsObservedLocally(
-                                   state_.quarantine, report.fingerprint())) {
-      Spawn(state_.io, "write_condemned_row",
-            WriteCondemnedRow(state_, report.fingerprint()));
-    }
-  }
-}
-
 void gossip::OnDigest(wire::digest received, const std::string& sender) {
   if (received.name().empty() || received.name() == state_.machine.name) {
     return;
@@ -230,9 +186,7 @@
     }
     metering::Merge(state_.tally, source, window.window(), counts);
   }
-  for (const auto& suspect : received.suspects()) {
-    OnSuspect(suspect, received.name());
-  }
+  MergeSuspects(state_, received.suspects(), received.name());
   const auto name = received.name();
   for (const auto& upstream : received.leaving_upstreams()) {
     MarkLeaving(state_, upstream, name);
@@ -321,7 +275,7 @@
   plain.mutable_digest()->set_wants_summary(
       !fleet::IsFullMesh(state_.members, options));
   if (is_full) {
-    internal::FillSuspects(state_, *plain.mutable_digest());
+    AdvertiseSuspects(state_, *plain.mutable_digest());
     for (auto& upstream : SelectLeavingUpstreams(state_, full_rounds_)) {
       plain.mutable_digest()->add_leaving_upstreams(std::move(upstream));
     }
@@ -459,7 +413,7 @@
   auto& head = *out.front().mutable_summary();
   head.set_relay(state_.machine.name);
   wire::digest suspects;
-  internal::FillSuspects(state_, suspects);
+  AdvertiseSuspects(state_, suspects);
   *head.mutable_suspects() = suspects.suspects();
   for (auto& upstream : SelectLeavingUpstreams(state_, full_rounds_)) {
     head.add_leaving_upstreams(std::move(upstream));
--- a/apps/mimosadeckd/edge/gossip.h
+++ b/apps/mimosadeckd/edge/gossip.h
@@ -38,7 +38,6 @@
   asio::awaitable<void> JoinFleet();
   void OnDatagram(const std::string& bytes, const std::string& sender);
   void OnDigest(wire::digest received, const std::string& sender);
-  void OnSuspect(const wire::suspect& report, std::string_view origin);
   /** @param origin Who named the address, for the log. */
   void AddPeer(const std::string& address, std::string_view origin);
   void OnSummary(wire::summary received);
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -73,6 +73,9 @@
   metrics.Set(
       "mimosadeck_condemned_requests", "entry", entry,
       static_cast<double>(quarantine::CondemnedCount(state.quarantine)));
+  metrics.Set(
+      "mimosadeck_condemned_prompt_parts", "entry", entry,
+      static_cast<double>(quarantine::CondemnedPartCount(state.quarantine)));
   for (const auto& [service, pool] : state.pools) {
     internal::ObservePool(metrics, state.limits, service, pool, now);
   }
--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -42,6 +42,18 @@
   return out;
 }
 
+/** @brief Returns the names of the prompt parts that other requests may share:
+ * all but the last. */
+std::vector<std::string> SharedPartNames(
+    const platform::caller_request& caller_request) {
+  const auto& parts = caller_request.prompt_parts;
+  std::vector<std::string> out;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    out.push_back(quarantine::PartName(parts[i].id));
+  }
+  return out;
+}
+
 /** @brief Returns the time after which a request is answered in any case. */
 std::chrono::milliseconds TimeLimitOf(const request_context& context) {
   const auto timeout = context.route->timeout;
@@ -100,13 +112,12 @@
     return refusal{result_code::draining, executed::no, kStoppingRetryAfter,
                    ""};
   }
-  if (!state.quarantine.suspects.empty()) {
+  context.part_names = SharedPartNames(context.caller_request);
+  if (IsCondemned(state, context)) {
     const auto left = quarantine::CondemnedTimeLeft(
-        state.quarantine, state.quarantine_options, FingerprintOf(context),
+        state.quarantine, state.quarantine_options, context.condemned_by,
         SuspendAwareNow());
-    if (left.count() > 0) {
-      return refusal{result_code::quarantined, executed::no, left, ""};
-    }
+    return refusal{result_code::quarantined, executed::no, left, ""};
   }
   return std::nullopt;
 }
@@ -139,6 +150,20 @@
   return context.fingerprint;
 }
 
+bool IsCondemned(const edge_state& state, request_context& context) {
+  if (state.quarantine.suspects.empty()) {
+    return false;
+  }
+  if (const auto* part =
+          quarantine::FindCondemned(state.quarantine, context.part_names)) {
+    context.condemned_by = *part;
+  } else if (quarantine::IsCondemned(state.quarantine,
+                                     FingerprintOf(context))) {
+    context.condemned_by = FingerprintOf(context);
+  }
+  return !context.condemned_by.empty();
+}
+
 asio::awaitable<void> ServeCaller(edge_state& state,
                                   net::http_request request,
                                   net::exchange& exchange) {
@@ -155,6 +180,8 @@
     co_await Refuse(state, *context, *std::move(reason), exchange);
     co_return;
   }
+  quarantine::OnPartsRequested(state.quarantine, state.quarantine_options,
+                               context->part_names, SuspendAwareNow());
   context->service = std::string(
       routing::PickService(*context->route, context->caller_request.id));
   context->job = internal::MakeJob(context->caller_request, *context->route);
--- a/apps/mimosadeckd/edge/rows.cc
+++ b/apps/mimosadeckd/edge/rows.cc
@@ -99,8 +99,12 @@
   suspect.crashed_at = now - *age;
   if (quarantine::Merge(state.quarantine, state.quarantine_options, fingerprint,
                         suspect, now)) {
-    telemetry::Log(telemetry::level::warning, "request_condemned",
-                   {{"fingerprint", fingerprint}, {"origin", "store"}});
+    telemetry::Log(telemetry::level::warning,
+                   quarantine::IsPart(fingerprint) ? "prompt_part_condemned"
+                                                   : "request_condemned",
+                   {{quarantine::IsPart(fingerprint) ? "part" : "fingerprint",
+                     fingerprint},
+                    {"origin", "store"}});
   }
   return true;
 }
@@ -153,6 +157,12 @@
   co_await internal::WriteUntilConfirmed(state, std::move(row));
 }
 
+asio::awaitable<void> RemoveCondemnedRow(edge_state& state, std::string name) {
+  infra::write row{std::string(internal::kCondemnedPrefix) + name,
+                   std::nullopt};
+  co_await internal::WriteUntilConfirmed(state, std::move(row));
+}
+
 asio::awaitable<void> ReadCondemnedRows(edge_state& state) {
   std::vector<std::string> expired;
   std::function<void(const infra::row&)> on_row =
--- a/apps/mimosadeckd/edge/rows.h
+++ b/apps/mimosadeckd/edge/rows.h
@@ -37,6 +37,10 @@
 [[nodiscard]] asio::awaitable<void> WriteCondemnedRow(edge_state& state,
                                                       std::string fingerprint);
 
+/** @brief Removes the row of a condemned prompt part that was acquitted. */
+[[nodiscard]] asio::awaitable<void> RemoveCondemnedRow(edge_state& state,
+                                                       std::string name);
+
 /** @brief Reads the condemned requests from the store and removes rows that
  * have expired or are unreadable. */
 [[nodiscard]] asio::awaitable<void> ReadCondemnedRows(edge_state& state);
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -51,6 +51,12 @@
   std::string reason;
   /** The connection stayed open, but nothing arrived before the timeout. */
   bool timed_out{};
+  /** Prompt parts that may have crashed the upstream; empty if the answer had
+   * run on for too long. */
+  std::vector<std::string> suspect_parts;
+  /** Time for which the answer had been running; unset if it had not begun. */
+  std::optional<std::chrono::milliseconds> begun_for;
+  mono_time sent_at;
   mono_time ended_at;
 };
 
--- a/apps/mimosadeckd/edge/work.h
+++ b/apps/mimosadeckd/edge/work.h
@@ -43,6 +43,11 @@
   std::size_t limited_upstreams{};
   /** Computed on first use by FingerprintOf(). */
   std::string fingerprint;
+  /** Names of the prompt parts but the last one, which is the request's own. */
+  std::vector<std::string> part_names;
+  /** Condemned fingerprint or prompt part for which the request is refused;
+   * empty if it is not. */
+  std::string condemned_by;
   /** Upstream and end of each attempt, for the log. */
   std::string attempt_log;
   /** Expected time to first answer of the latest attempt. */
@@ -115,6 +120,11 @@
                    int status,
                    std::string_view outcome);
 
+/** @brief Returns whether the request or a part of its prompt is condemned, and
+ * notes which. */
+[[nodiscard]] bool IsCondemned(const edge_state& state,
+                               request_context& context);
+
 /** @brief Returns whether the request may be sent again after an attempt that
  * ended like this; consumes one repeat of the retry budget unless the attempt
  * did not connect. */
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -342,6 +342,10 @@
   return impl_->is_first_on_connection;
 }
 
+bool http_call::EndsWithConnection() const {
+  return impl_->parser->need_eof();
+}
+
 asio::awaitable<http_call::piece> http_call::ReadPiece() {
   const auto self = impl_;
   if (!self->connection) {
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -90,6 +90,10 @@
   /** @brief Returns true if this is the first response on its connection. */
   [[nodiscard]] bool IsFirstOnConnection() const;
 
+  /** @brief Returns true if the body has neither a length nor chunks, so that
+   * the end of the connection is its end. */
+  [[nodiscard]] bool EndsWithConnection() const;
+
   /** @brief A piece of the body; empty at the end of the body. */
   using piece = std::variant<std::string, call_failure>;
 
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -30,16 +30,32 @@
                       record.cleared.end(), std::inserter(to, to.end()));
 }
 
-/** @brief Orders uncondemned suspects by most crashes. Within equal counts, and
- * among condemned ones, those observed at this entry come first, since no other
- * entry may have them; then the least advertised, then the last updated. */
+/** @brief Orders prompt parts before requests, since one part may explain the
+ * crashes of many; among parts the least advertised come first. Then by most
+ * crashes. Within equal counts, and among condemned ones, those observed at
+ * this entry come first, since no other entry may have them; then the least
+ * advertised, then the last updated. */
 bool HasPriority(const suspect_entry* a, const suspect_entry* b) {
-  const auto rank = [](const suspect& record) {
-    return std::tuple(record.condemned ? 0 : -std::ssize(record.crashes),
+  const auto rank = [](const suspect_entry& item) {
+    const auto& record = item.second;
+    const bool is_part = IsPart(item.first);
+    return std::tuple(!is_part, is_part ? record.times_advertised : 0,
+                      record.condemned ? 0 : -std::ssize(record.crashes),
                       !record.observed_locally, record.times_advertised,
                       -record.updated_at.time_since_epoch());
   };
-  return rank(a->second) < rank(b->second);
+  return rank(*a) < rank(*b);
+}
+
+/** @brief Returns when a request with a prompt part was last served, here or at
+ * the sender of a report; unset if none was. */
+std::optional<mono_time> ServedAt(const suspect_table& state,
+                                  const std::string& name,
+                                  const suspect& received) {
+  const auto known = state.parts.find(name);
+  return known == state.parts.end()
+             ? received.acquitted_at
+             : std::max(known->second.served_at, received.acquitted_at);
 }
 
 /** @brief Selects up to `limit` candidates in order of priority. */
@@ -108,7 +124,10 @@
     if (running.size() == 1) {
       record.crashes_alone.insert(crash);
     }
-    internal::CondemnIfLimitReached(record, settings);
+    record.acquitted_at.reset();
+    if (!IsPart(fingerprint)) {
+      internal::CondemnIfLimitReached(record, settings);
+    }
     changed.push_back(fingerprint);
   }
   return changed;
@@ -125,6 +144,18 @@
   record.crashes_alone.clear();
 }
 
+void Acquit(suspect& record, mono_time served_at, mono_time now) {
+  const bool is_changed = record.condemned || !record.crashes.empty();
+  record.cleared.merge(record.crashes);
+  record.crashes.clear();
+  record.crashes_alone.clear();
+  record.condemned = false;
+  if (is_changed) {
+    record.acquitted_at = served_at;
+    internal::MarkUpdated(record, now);
+  }
+}
+
 bool Merge(suspect_table& state,
            const options& settings,
            const std::string& fingerprint,
@@ -136,15 +167,32 @@
   auto& record = state.suspects[fingerprint];
   const auto crashes_before = record.crashes.size();
   const bool was_condemned = record.condemned;
+  const auto served_at = internal::ServedAt(state, fingerprint, received);
+  if (served_at &&
+      *served_at >= std::max(received.crashed_at, record.crashed_at)) {
+    internal::AddUncleared(record, received.crashes, record.crashes);
+    record.condemned = record.condemned || received.condemned;
+    record.crashed_at = std::max(record.crashed_at, received.crashed_at);
+    Acquit(record, *served_at, now);
+    return false;
+  }
   internal::AddUncleared(record, received.crashes, record.crashes);
   internal::AddUncleared(record, received.crashes_alone, record.crashes_alone);
-  record.condemned = record.condemned || received.condemned;
+  const bool is_doubtful =
+      served_at && received.crashed_at - *served_at < settings.recent_service;
+  record.condemned = record.condemned || (received.condemned && !is_doubtful);
   record.crashed_at = std::max(record.crashed_at, received.crashed_at);
-  internal::CondemnIfLimitReached(record, settings);
+  if (!IsPart(fingerprint)) {
+    internal::CondemnIfLimitReached(record, settings);
+  }
   const bool is_condemned_now = record.condemned && !was_condemned;
   if (is_condemned_now || record.crashes.size() > crashes_before) {
     internal::MarkUpdated(record, now);
   }
+  if (is_condemned_now && IsPart(fingerprint)) {
+    record.acquitted_at.reset();
+    ClearExplainedCrashes(state, fingerprint);
+  }
   return is_condemned_now;
 }
 
@@ -156,7 +204,7 @@
   for (auto& item : state.suspects) {
     if (item.second.condemned) {
       condemned.push_back(&item);
-    } else if (!item.second.crashes.empty() &&
+    } else if ((!item.second.crashes.empty() || item.second.acquitted_at) &&
                now - item.second.updated_at <= settings.advertise_for) {
       uncondemned.push_back(&item);
     }
@@ -183,9 +231,17 @@
 }
 
 std::size_t CondemnedCount(const suspect_table& state) {
-  return static_cast<std::size_t>(
-      std::count_if(state.suspects.begin(), state.suspects.end(),
-                    [](const auto& item) { return item.second.condemned; }));
+  return static_cast<std::size_t>(std::count_if(
+      state.suspects.begin(), state.suspects.end(), [](const auto& item) {
+        return item.second.condemned && !IsPart(item.first);
+      }));
+}
+
+std::size_t CondemnedPartCount(const suspect_table& state) {
+  return static_cast<std::size_t>(std::count_if(
+      state.suspects.begin(), state.suspects.end(), [](const auto& item) {
+        return item.second.condemned && IsPart(item.first);
+      }));
 }
 
 bool IsCondemned(const suspect_table& state, const std::string& fingerprint) {
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -5,12 +5,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "quarantine/fwd.h"
+#include "quarantine/prompt_parts.h"
 
 namespace mimosadeck::quarantine {
 
@@ -32,6 +35,15 @@
   std::uint32_t crashes_alone_to_condemn{2};
   /** Crashes that condemn a request, whatever else was running. */
   std::uint32_t crashes_to_condemn{4};
+  /** Crashes that condemn a prompt part of which no request was served. */
+  std::uint32_t crashes_to_condemn_part{4};
+  /** The same for a part that was served before: crashes since then. */
+  std::uint32_t crashes_to_condemn_served_part{5};
+  /** The verdict of another entry on a part that was served here so shortly
+   * before its last crash is not yet taken over. */
+  std::chrono::milliseconds recent_service{2000};
+  /** Prompt parts whose service is remembered. */
+  std::size_t max_parts{8192};
   /** Retention of a suspect or condemned request after its last crash. */
   std::chrono::milliseconds forget_after{600000};
   /**
@@ -47,7 +59,8 @@
   std::size_t max_advertised{16};
 };
 
-/** @brief A request that was running when an upstream crashed. */
+/** @brief A request, or a prompt part of requests, that was running when an
+ * upstream crashed. */
 struct suspect {
   /** Ids of the crashes attributed to the request. */
   std::set<std::string> crashes;
@@ -57,7 +70,11 @@
   std::set<std::string> cleared;
   /** Refused, because it crashes upstreams. */
   bool condemned{};
-  /** This entry observed one of the crashes itself. */
+  /** An upstream served a request with this part after those crashes, which is
+   * advertised like a suspicion. */
+  std::optional<mono_time> acquitted_at;
+  /** This entry observed one of the crashes, or the service that acquits,
+   * itself. */
   bool observed_locally{};
   /** Time of the newest crash. */
   mono_time crashed_at;
@@ -67,11 +84,20 @@
   std::uint32_t times_advertised{};
 };
 
-/** @brief Suspects that one entry holds, by request fingerprint. */
+/** @brief Suspects that one entry holds, by fingerprint of the request or name
+ * of the prompt part. */
 struct suspect_table {
   std::map<std::string, suspect> suspects;
+  /** Prompt parts of this entry's requests, by name. */
+  std::map<std::string, part_record> parts;
 };
 
+/**
+ * @brief Clears a suspect of the crashes known so far, and advertises it.
+ * @param served_at When an upstream served a request with it.
+ */
+void Acquit(suspect& record, mono_time served_at, mono_time now);
+
 /**
  * @brief Computes the fingerprint of a request.
  * @param account Client account that sends it.
@@ -132,6 +158,10 @@
 /**
  * @brief Merges a suspect received from another entry; a crash counts once.
  *
+ * A prompt part that was served after its last crash, here or at the sender, is
+ * acquitted. Parts are condemned by CondemnParts(), since the crashes of one
+ * must be compared with those of others.
+ *
  * Receiving crashes that are already recorded neither restarts advertising of
  * the suspect nor extends its retention.
  *
@@ -175,9 +205,12 @@
 [[nodiscard]] bool IsObservedLocally(const suspect_table& state,
                                      const std::string& fingerprint);
 
-/** @brief Returns the number of condemned requests. */
+/** @brief Returns the number of condemned requests, without prompt parts. */
 [[nodiscard]] std::size_t CondemnedCount(const suspect_table& state);
 
+/** @brief Returns the number of condemned prompt parts. */
+[[nodiscard]] std::size_t CondemnedPartCount(const suspect_table& state);
+
 /** @brief Returns true if a request must be refused. */
 [[nodiscard]] bool IsCondemned(const suspect_table& state,
                                const std::string& fingerprint);
--- a/test/system/crashing_part_system_test.cc
+++ b/test/system/crashing_part_system_test.cc
@@ -85,8 +85,8 @@
   Start();
   BOOST_REQUIRE(
       Eventually([this] { return Get(ready, "/v1/ready").status == 200; }));
-  BOOST_TEST(
-      Eventually([this] { return Shows("mimosadeck_condemned_requests", 1); }));
+  BOOST_TEST(Eventually(
+      [this] { return Shows("mimosadeck_condemned_prompt_parts", 1); }));
   BOOST_TEST(Ask(kSharedPart + ',' + kCrashingPart) == 503);
   BOOST_TEST(TotalRunCount() == runs);
 }
