--- a/test/net/http_call_test.cc
+++ b/test/net/http_call_test.cc
@@ -248,6 +248,38 @@
   BOOST_TEST(std::holds_alternative<net::call_failure>(SendRequest()));
 }
 
+// Guards against a success whose upstream stopped inside the head: what was
+// read of it must not pass for a whole response without a body.
+BOOST_AUTO_TEST_CASE(response_that_ends_inside_its_head_fails) {
+  const std::vector<std::string> heads{
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Server-Stamp: "
+      "s\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n\r\n"};
+  for (const auto& head : heads) {
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      for (const bool by_reset : {false, true}) {
+        for (const bool on_kept_connection : {false, true}) {
+          closes_after = resets_after = false;
+          next = 0;
+          scripts = {kResponse, head.substr(0, cut)};
+          if (on_kept_connection) {
+            BOOST_REQUIRE(IsText(SendRequest(), "ok"));
+          } else {
+            next = 1;
+            cache.Forget("s");
+          }
+          (by_reset ? resets_after : closes_after) = true;
+          BOOST_TEST_CONTEXT("cut after " << head.substr(0, cut)) {
+            BOOST_TEST(
+                std::holds_alternative<net::call_failure>(SendRequest()));
+          }
+        }
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(response_shorter_than_its_length_is_incomplete) {
   closes_after = true;
   scripts = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"};
--- a/test/system/planned_stop_system_test.cc
+++ b/test/system/planned_stop_system_test.cc
@@ -43,8 +43,8 @@
   std::deque<received_stream> streams;
   steady::time_point stop_sent_at;
 
-  stopping_entry()
-      : one_entry({kStopGrace, ManifestWithTimeout(kStreamLimit)}) {
+  explicit stopping_entry(std::chrono::seconds grace = kStopGrace)
+      : one_entry({grace, ManifestWithTimeout(kStreamLimit)}) {
     call_timeout = kStreamLimit;
   }
 
@@ -171,4 +171,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** @brief Fixture that sends requests that must not run twice until the process
+ * has ended, and checks that each one that ran is answered. */
+struct unsafe_in_stop : stopping_entry {
+  using stopping_entry::stopping_entry;
+
+  void CheckRequestsUntilTheEnd() {
+    first.work_time = second.work_time = kLongStream;
+    SetAnswers(answer::good);
+    SendStopSignal();
+    while (entry->IsRunning() && steady::now() < stop_sent_at + stop_grace) {
+      StartRequest("/unsafe/x");
+      Run(kRequestPause);
+    }
+    BOOST_REQUIRE(Eventually([this] {
+      return std::all_of(streams.begin(), streams.end(),
+                         [](const auto& sent) { return sent.done; });
+    }));
+    for (const auto& sent : streams) {
+      constexpr int kNotRun = 503;
+      BOOST_TEST_CONTEXT(sent.id << " status " << sent.response.status) {
+        BOOST_TEST((!HasRun(sent.id) || sent.complete));
+        BOOST_TEST((!HasRun(sent.id) || sent.response.status != kNotRun));
+      }
+    }
+    BOOST_TEST(RunCount() > 0U);
+  }
+};
+
+struct unsafe_in_short_stop : unsafe_in_stop {
+  unsafe_in_short_stop() : unsafe_in_stop(2s) {}
+};
+
+// Guards against requests that are accepted late in a stop, passed on and cut
+// without an answer at its end.
+BOOST_FIXTURE_TEST_CASE(unsafe_request_late_in_a_stop_is_answered_or_not_run,
+                        unsafe_in_stop) {
+  CheckRequestsUntilTheEnd();
+}
+
+BOOST_FIXTURE_TEST_CASE(unsafe_request_in_a_short_stop_is_answered_or_not_run,
+                        unsafe_in_short_stop) {
+  CheckRequestsUntilTheEnd();
+}
+
 }  // namespace
