--- a/test/fleet/leaving_upstream_test.cc
+++ b/test/fleet/leaving_upstream_test.cc
@@ -811,7 +811,6 @@
 
 constexpr site kSmallSite{8, 3000ms, 2000ms};
 constexpr site kGrownSite{78, 4000ms, 3000ms};
-constexpr site kLargeSite{410, 5000ms, 4000ms};
 
 void CheckSite(const site& settings,
                bool has_faults,
