--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the review's scripts into target/review, with the
+# libraries that the build of the deploy file left in target/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+flags=(-std=c++20 -O1 -Wall -Wextra -Werror -Wno-mismatched-new-delete
+  -Isrc -Itest)
+sources=(review/stand_in/fleet.cc review/stand_in/scenario.cc
+  test/platform/store_stand_in.cc
+  test/platform/upstream_stand_in.cc test/system/deployment.cc)
+objects=()
+for source in "${sources[@]}"; do
+  object=target/review/$(basename "$source" .cc).o
+  g++ "${flags[@]}" -c "$source" -o "$object" &
+  objects+=("$object")
+done
+wait
+libraries=(settings config infra net base)
+grep -l '^int main' review/stand_in/*.cc | while read -r source; do
+  program=$(basename "$source" .cc)
+  g++ "${flags[@]}" "$source" "${objects[@]}" \
+    -Ltarget/src "${libraries[@]/#/-lmimosadeck_}" \
+    -lboost_json -lboost_url -lcrypto -lxxhash -lpthread \
+    -o "target/review/$program"
+done
