--- a/review/stand_in/counts_after_drill.cc
+++ b/review/stand_in/counts_after_drill.cc
@@ -116,6 +116,8 @@
 }  // namespace mimosadeck::review
 
 int main(int argc, char** argv) {
-  return mimosadeck::review::RunScenario(
-      argc, argv, mimosadeck::review::kEntries, mimosadeck::review::Play);
+  mimosadeck::review::scenario_options settings;
+  settings.entries = mimosadeck::review::kEntries;
+  return mimosadeck::review::RunScenario(argc, argv, settings,
+                                         mimosadeck::review::Play);
 }
--- a/review/stand_in/fleet.cc
+++ b/review/stand_in/fleet.cc
@@ -67,6 +67,7 @@
             io_, "i-" + std::to_string(i)));
     added.work_time = kWorkTime;
     added.on_run = [this](const platform_test::upstream_run& run) {
+      ++counts.run;
       Record("run " +
              std::string(net::FieldOf(run.request.fields, "x-request-id")) +
              " as " + run.stamp);
@@ -93,15 +94,11 @@
 }
 
 void fleet::RecordTotals() {
-  std::size_t runs = 0;
-  for (const auto& upstream : upstreams) {
-    runs += upstream->runs.size();
-  }
-  Record("requests sent " + std::to_string(counts.sent) + ", succeeded " +
-         std::to_string(counts.succeeded) + ", refused " +
-         std::to_string(counts.refused) + ", failed " +
-         std::to_string(counts.failed) + ", run by upstreams " +
-         std::to_string(runs));
+  Record("requests sent " + std::to_string(counts.sent) + ", run " +
+         std::to_string(counts.run) + ", succeeded " +
+         std::to_string(counts.succeeded) +
+         ", refused or failed with a status " + std::to_string(counts.refused) +
+         ", without an answer " + std::to_string(counts.failed));
 }
 
 void fleet::WriteManifest() {
--- a/review/stand_in/fleet.h
+++ b/review/stand_in/fleet.h
@@ -40,9 +40,10 @@
   bool is_used{};
 };
 
-/** @brief Requests of callers, by outcome. */
-struct caller_counts {
+/** @brief Requests of callers, by outcome, and their runs at upstreams. */
+struct request_counts {
   std::uint64_t sent{};
+  std::uint64_t run{};
   std::uint64_t succeeded{};
   std::uint64_t refused{};
   std::uint64_t failed{};
@@ -98,7 +99,7 @@
   platform_test::store_stand_in duties;
   std::vector<std::unique_ptr<entry>> entries;
   std::vector<std::unique_ptr<platform_test::upstream_stand_in>> upstreams;
-  caller_counts counts;
+  request_counts counts;
 
  private:
   boost::asio::awaitable<void> SendRequest(std::size_t number,
--- a/review/stand_in/scenario.cc
+++ b/review/stand_in/scenario.cc
@@ -21,19 +21,22 @@
 constexpr milliseconds kPoll{5};
 constexpr int kFirstCommandWord = 3;
 
-int Run(int argc, char** argv, std::size_t entries, const scenario& play) {
+int Run(int argc,
+        char** argv,
+        const scenario_options& settings,
+        const scenario& play) {
   if (argc <= kFirstCommandWord) {
     std::cerr << "usage: " << argv[0] << " RECORD DIRECTORY COMMAND...\n";
     return kNotRun;
   }
   asio::io_context io{1};
   fleet_options options;
-  options.entries = entries;
+  options.entries = settings.entries;
   options.record = argv[1];
   options.directory = argv[2];
   options.command.assign(argv + kFirstCommandWord, argv + argc);
   fleet system(io, options);
-  for (std::size_t i = 0; i < entries; ++i) {
+  for (std::size_t i = 0; i < settings.entries; ++i) {
     system.Start(i);
   }
   const char* trouble = std::getenv("TROUBLE");
@@ -41,7 +44,9 @@
   int out = kNotRun;
   asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&io](boost::system::error_code, int) { io.stop(); });
-  asio::co_spawn(io, system.SendRequests(), asio::detached);
+  if (settings.sends_requests) {
+    asio::co_spawn(io, system.SendRequests(), asio::detached);
+  }
   asio::co_spawn(io, system.SendHeartbeats(), asio::detached);
   asio::co_spawn(io, system.RecordReports(), asio::detached);
   asio::co_spawn(io, play(system, has_trouble),
@@ -59,10 +64,10 @@
 
 int RunScenario(int argc,
                 char** argv,
-                std::size_t entries,
+                const scenario_options& settings,
                 const scenario& play) {
   try {
-    return Run(argc, argv, entries, play);
+    return Run(argc, argv, settings, play);
   } catch (const std::exception& failure) {
     std::cerr << failure.what() << '\n';
     return kNotRun;
--- a/review/stand_in/scenario.h
+++ b/review/stand_in/scenario.h
@@ -19,6 +19,13 @@
 using scenario =
     std::function<boost::asio::awaitable<int>(fleet& system, bool has_trouble)>;
 
+/** @brief What runs besides the case. */
+struct scenario_options {
+  std::size_t entries{3};
+  /** Callers send the fleet's own requests. */
+  bool sends_requests{true};
+};
+
 /**
  * @brief Runs a case. The arguments are the file for the record, a directory
  * for settings and logs, and the command that starts an entry.
@@ -27,7 +34,7 @@
  */
 [[nodiscard]] int RunScenario(int argc,
                               char** argv,
-                              std::size_t entries,
+                              const scenario_options& settings,
                               const scenario& play);
 
 /** @brief Waits until so many usage reports have arrived. @return False on
