--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 flags=(-std=c++20 -O1 -Wall -Wextra -Werror -Wno-mismatched-new-delete
   -Isrc -Itest)
 sources=(review/stand_in/fleet.cc review/stand_in/scenario.cc
-  test/platform/store_stand_in.cc
+  test/platform/store_stand_in.cc test/platform/raw_upstream.cc
   test/platform/upstream_stand_in.cc test/system/deployment.cc)
 objects=()
 for source in "${sources[@]}"; do
--- a/review/stand_in/scenario.cc
+++ b/review/stand_in/scenario.cc
@@ -32,6 +32,7 @@
   asio::io_context io{1};
   fleet_options options;
   options.entries = settings.entries;
+  options.upstreams = settings.upstreams;
   options.record = argv[1];
   options.directory = argv[2];
   options.command.assign(argv + kFirstCommandWord, argv + argc);
--- a/review/stand_in/scenario.h
+++ b/review/stand_in/scenario.h
@@ -22,6 +22,8 @@
 /** @brief What runs besides the case. */
 struct scenario_options {
   std::size_t entries{3};
+  /** Sound upstreams of the fleet's own. */
+  std::size_t upstreams{3};
   /** Callers send the fleet's own requests. */
   bool sends_requests{true};
 };
