--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 mkdir -p target/review
 flags=(-std=c++20 -O1 -Wall -Wextra -Werror -Wno-mismatched-new-delete
   -Isrc -Itest)
-sources=(review/stand_in/fleet.cc review/stand_in/scenario.cc
+sources=(review/fleet.cc review/scenario.cc
   test/platform/store_stand_in.cc test/platform/raw_upstream.cc
   test/platform/upstream_stand_in.cc test/system/deployment.cc)
 objects=()
@@ -18,7 +18,7 @@
 done
 wait
 libraries=(settings config infra net base)
-grep -l '^int main' review/stand_in/*.cc | while read -r source; do
+grep -l '^int main' review/*.cc | while read -r source; do
   program=$(basename "$source" .cc)
   g++ "${flags[@]}" "$source" "${objects[@]}" \
     -Ltarget/src "${libraries[@]/#/-lmimosadeck_}" \
--- a/review/stand_in/counts_after_drill.cc
+++ b/review/counts_after_drill.cc
@@ -9,7 +9,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 
-#include "../../test/platform/wait.h"
+#include "../test/platform/wait.h"
 #include "scenario.h"
 
 namespace mimosadeck::review {
--- a/review/stand_in/epoch_after_drill.cc
+++ b/review/epoch_after_drill.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
-#include "../../test/platform/wait.h"
+#include "../test/platform/wait.h"
 #include "scenario.h"
 
 namespace mimosadeck::review {
--- a/review/stand_in/fleet.cc
+++ b/review/fleet.cc
@@ -12,7 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
-#include "../../test/platform/wait.h"
+#include "../test/platform/wait.h"
 
 namespace mimosadeck::review {
 
--- a/review/stand_in/fleet.h
+++ b/review/fleet.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STAND_IN_FLEET_H_
-#define REVIEW_STAND_IN_FLEET_H_
+#ifndef REVIEW_FLEET_H_
+#define REVIEW_FLEET_H_
 
 #include <chrono>
 #include <cstdint>
@@ -11,9 +11,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "../../test/platform/store_stand_in.h"
-#include "../../test/platform/upstream_stand_in.h"
-#include "../../test/system/deployment.h"
+#include "../test/platform/store_stand_in.h"
+#include "../test/platform/upstream_stand_in.h"
+#include "../test/system/deployment.h"
 #include "net/net.h"
 
 namespace mimosadeck::review {
@@ -119,4 +119,4 @@
 
 }  // namespace mimosadeck::review
 
-#endif  // REVIEW_STAND_IN_FLEET_H_
+#endif  // REVIEW_FLEET_H_
--- a/review/stand_in/scenario.cc
+++ b/review/scenario.cc
@@ -8,7 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "../../test/platform/wait.h"
+#include "../test/platform/wait.h"
 
 namespace mimosadeck::review {
 
--- a/review/stand_in/scenario.h
+++ b/review/scenario.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STAND_IN_SCENARIO_H_
-#define REVIEW_STAND_IN_SCENARIO_H_
+#ifndef REVIEW_SCENARIO_H_
+#define REVIEW_SCENARIO_H_
 
 #include <chrono>
 #include <functional>
@@ -53,4 +53,4 @@
 
 }  // namespace mimosadeck::review
 
-#endif  // REVIEW_STAND_IN_SCENARIO_H_
+#endif  // REVIEW_SCENARIO_H_
--- a/review/stand_in/spoiled_answer.cc
+++ b/review/spoiled_answer.cc
@@ -9,8 +9,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 
-#include "../../test/platform/raw_upstream.h"
-#include "../../test/platform/wait.h"
+#include "../test/platform/raw_upstream.h"
+#include "../test/platform/wait.h"
 #include "scenario.h"
 
 namespace mimosadeck::review {
