Report no window again whose counts the store has lost

Cause: the row `usage/WINDOW` was the only memory of a report beyond the process that sent it, and its absence was taken for proof that none was sent.

Change: each entry keeps the counts that the store has confirmed to it, and writes them again once the store states another era. A window whose counts are not in the store is frozen only if it was due after the era began, or if this entry held the lease from before until then; any other one is left out with a log line that states this entry's own sum. The write that freezes names the lease row's version, so that a late one, or one of a former era, fails.

Why it works: figures that may have been reported are either written again by someone who knows them, or never replaced by others.

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -13,6 +13,9 @@
 /** Time after the end of a window in which the last counts arrive from other
  * entries. */
 constexpr std::chrono::milliseconds kSettleTime{1500};
+/** Difference between the clocks of two entries that counts as none when they
+ * tell whether a window was due. */
+constexpr std::chrono::milliseconds kClockTolerance{2000};
 /** Entries that contend while no entry is known to hold the lease. */
 constexpr std::size_t kMaxContenders = 2;
 /** Renewals per term; one may be lost. */
@@ -139,6 +142,7 @@
 asio::awaitable<void> duties::Run() {
   while (!state_.stopping) {
     co_await TickLease();
+    co_await RestoreFrozenCounts();
     if (MayAct()) {
       co_await ReportDueWindows();
       co_await ScaleServices();
@@ -183,10 +187,28 @@
       {{"era", std::to_string(*era)},
        {"former_era", known ? std::to_string(*known) : "none"},
        {"held_fencing", std::to_string(was_held ? state_.lease.fencing : 0)}});
+  metering::OnCountsLost(reports_, ReportsKnownFrom(!known));
   lease::OnStoreReturned(state_.lease, guard_, acting_options_,
                          SuspendAwareNow());
 }
 
+/**
+ * Returns the time from which this entry knows of every window that was frozen
+ * before the store's new era.
+ *
+ * No other entry froze one while this one held the lease. A process that hears
+ * the store for the first time has learned nothing before, and windows that end
+ * later cannot have been frozen yet.
+ */
+wall_time duties::ReportsKnownFrom(bool is_first_response) {
+  if (is_first_response) {
+    return FleetTime(state_);
+  }
+  const bool is_held = lease::IsHeld(state_.lease, SuspendAwareNow());
+  return (is_held ? acquired_at_ : FleetTime(state_)) +
+         internal::kClockTolerance;
+}
+
 asio::awaitable<void> duties::TickLease() {
   CheckConnectivity();
   CheckEra();
@@ -207,6 +229,7 @@
     case lease::lease_transition::none:
       break;
     case lease::lease_transition::acquired:
+      acquired_at_ = FleetTime(state_);
       telemetry::Log(telemetry::level::info, "lease_taken",
                      {{"fencing", std::to_string(state_.lease.fencing)}});
       break;
@@ -218,20 +241,24 @@
   }
 }
 
+wall_time duties::DueTime(metering::window_number window) const {
+  return metering::WindowEnd(window, state_.machine.bounds.billing_window) +
+         internal::kSettleTime;
+}
+
 asio::awaitable<void> duties::ReportDueWindows() {
   const auto length = state_.machine.bounds.billing_window;
   const auto now = FleetTime(state_);
   const auto present = metering::WindowAt(now, length);
   const auto oldest = present - std::min(present, internal::kRetainedWindows);
   metering::DropBefore(state_.tally, oldest);
-  for (auto window = std::max(first_window_, oldest);
-       metering::WindowEnd(window, length) + internal::kSettleTime <= now;
+  metering::DropBefore(reports_, oldest);
+  for (auto window = std::max(first_window_, oldest); DueTime(window) <= now;
        ++window) {
-    if (!reported_.contains(window)) {
+    if (!reports_.closed.contains(window)) {
       co_await ReportWindow(window);
     }
   }
-  reported_.erase(reported_.begin(), reported_.lower_bound(oldest));
 }
 
 asio::awaitable<void> duties::ScaleServices() {
@@ -275,13 +302,79 @@
   }
 }
 
-/** Stores the counts of a window before its first report, so that each holder
- * that reports the window reports the same counts. */
+/** Writes the counts that the store may have lost once more. They are the
+ * first ones of their windows, and so replace any others. */
+asio::awaitable<void> duties::RestoreFrozenCounts() {
+  while (!reports_.to_restore.empty()) {
+    const auto window = *reports_.to_restore.begin();
+    infra::commit commit;
+    commit.writes.push_back(
+        {internal::WindowKey(window), reports_.frozen.at(window)});
+    infra::request request = std::move(commit);
+    const auto reply = co_await state_.platform.Send(std::move(request));
+    if (!std::holds_alternative<infra::committed>(reply)) {
+      co_return;
+    }
+    reports_.to_restore.erase(window);
+    telemetry::Log(
+        telemetry::level::info, "usage_counts_restored",
+        {{"window", std::to_string(window)},
+         {"era", std::to_string(state_.platform.Era().value_or(0))}});
+  }
+}
+
+/** Returns the counts to report for a window, the same ones for each holder;
+ * empty if they cannot be determined now, or never. */
+asio::awaitable<std::optional<std::string>> duties::FrozenCounts(
+    metering::window_number window) {
+  const auto known = reports_.frozen.find(window);
+  if (known != reports_.frozen.end()) {
+    co_return known->second;
+  }
+  std::optional<std::string> counts;
+  if (metering::MayFreeze(reports_, DueTime(window))) {
+    counts = co_await FreezeCounts(window);
+  } else {
+    counts = co_await ReadFrozenCounts(window);
+  }
+  if (counts) {
+    metering::OnFrozen(reports_, window, *counts);
+  }
+  co_return counts;
+}
+
+/** Reads the counts of a window, which is closed if the store has lost them or
+ * never had them: they may have been reported. */
+asio::awaitable<std::optional<std::string>> duties::ReadFrozenCounts(
+    metering::window_number window) {
+  infra::request read = infra::read_row{internal::WindowKey(window)};
+  const auto stored = co_await state_.platform.Send(std::move(read));
+  if (const auto* row = std::get_if<infra::row_found>(&stored)) {
+    co_return row->found.value;
+  }
+  if (std::holds_alternative<infra::row_absent>(stored) && MayAct()) {
+    reports_.closed.insert(window);
+    state_.metrics.Count("mimosadeck_usage_reports_total", "accepted",
+                         "omitted");
+    telemetry::Log(
+        telemetry::level::warning, "usage_not_reported",
+        {{"window", std::to_string(window)},
+         {"figures",
+          metering::EncodeCounts(metering::Sum(state_.tally, window))},
+         {"reason", "may have been reported with counts that the store lost"}});
+  }
+  co_return std::nullopt;
+}
+
+/** Stores the counts of a window before its first report. The condition on the
+ * lease row keeps a former holder from freezing counts, and this one if the
+ * store has begun another era. */
 asio::awaitable<std::optional<std::string>> duties::FreezeCounts(
     metering::window_number window) {
   const auto key = internal::WindowKey(window);
   const auto own = metering::EncodeCounts(metering::Sum(state_.tally, window));
   infra::commit commit;
+  commit.conditions.push_back(lease::FencingCondition(state_.lease, options_));
   commit.conditions.push_back({key, 0});
   commit.writes.push_back({key, own});
   const bool removes_oldest = frozen_.size() >= internal::kMaxFrozenRows;
@@ -298,19 +391,16 @@
     frozen_.push_back(window);
     co_return own;
   }
-  if (!std::holds_alternative<infra::conflict>(reply)) {
+  const auto* conflict = std::get_if<infra::conflict>(&reply);
+  if (!conflict || conflict->key != key) {
     co_return std::nullopt;
   }
-  infra::request read = infra::read_row{key};
-  const auto stored = co_await state_.platform.Send(std::move(read));
-  if (const auto* row = std::get_if<infra::row_found>(&stored)) {
-    co_return row->found.value;
-  }
-  co_return std::nullopt;
+  auto stored = co_await ReadFrozenCounts(window);
+  co_return stored;
 }
 
 asio::awaitable<void> duties::ReportWindow(metering::window_number window) {
-  const auto counts = co_await FreezeCounts(window);
+  const auto counts = co_await FrozenCounts(window);
   if (!counts || !MayAct()) {
     co_return;
   }
@@ -330,7 +420,7 @@
                   {"accepted", accepted ? "yes" : "unknown"},
                   {"figures", *counts}});
   if (accepted) {
-    reported_.insert(window);
+    reports_.closed.insert(window);
   }
 }
 
--- a/apps/mimosadeckd/edge/duties.h
+++ b/apps/mimosadeckd/edge/duties.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -36,8 +35,15 @@
   asio::awaitable<void> ScaleServices();
   asio::awaitable<void> ReportDueWindows();
   asio::awaitable<void> ReportWindow(metering::window_number window);
+  asio::awaitable<std::optional<std::string>> FrozenCounts(
+      metering::window_number window);
+  asio::awaitable<std::optional<std::string>> ReadFrozenCounts(
+      metering::window_number window);
   asio::awaitable<std::optional<std::string>> FreezeCounts(
       metering::window_number window);
+  asio::awaitable<void> RestoreFrozenCounts();
+  [[nodiscard]] wall_time DueTime(metering::window_number window) const;
+  [[nodiscard]] wall_time ReportsKnownFrom(bool is_first_response);
   void CheckConnectivity();
   void CheckEra();
   [[nodiscard]] bool MayAct() const;
@@ -49,8 +55,7 @@
   /** Capacity planners by service; reset when the lease is lost. */
   std::map<std::string, sizing::planner> planners_;
   sizing::options sizing_options_;
-  /** Windows whose usage report was accepted. */
-  std::set<metering::window_number> reported_;
+  metering::report_log reports_;
   /** Windows whose frozen counts this process wrote to the store and has not
    * removed yet, oldest first. */
   std::deque<metering::window_number> frozen_;
@@ -60,6 +65,8 @@
   lease::acting_guard guard_;
   /** The lease is being released because most other entries are unreachable. */
   bool is_cut_off_{};
+  /** When the lease was acquired last. */
+  wall_time acquired_at_;
   /** Era of the store in which this entry contends; unset before the store's
    * first response. */
   std::optional<std::uint64_t> era_;
--- a/src/metering/fwd.h
+++ b/src/metering/fwd.h
@@ -3,6 +3,7 @@
 
 namespace mimosadeck::metering {
 
+struct report_log;
 struct tally;
 
 }  // namespace mimosadeck::metering
--- a/src/metering/metering.cc
+++ b/src/metering/metering.cc
@@ -1,6 +1,7 @@
 #include "metering/metering.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -54,6 +55,28 @@
                 [](const auto& item) { return item.second.empty(); });
 }
 
+void OnFrozen(report_log& state, window_number window, std::string counts) {
+  state.frozen.insert_or_assign(window, std::move(counts));
+}
+
+void OnCountsLost(report_log& state, wall_time complete_from) {
+  state.complete_from = std::max(state.complete_from, complete_from);
+  for (const auto& [window, counts] : state.frozen) {
+    state.to_restore.insert(window);
+  }
+}
+
+bool MayFreeze(const report_log& state, wall_time due) {
+  return due >= state.complete_from;
+}
+
+void DropBefore(report_log& state, window_number oldest) {
+  state.frozen.erase(state.frozen.begin(), state.frozen.lower_bound(oldest));
+  state.to_restore.erase(state.to_restore.begin(),
+                         state.to_restore.lower_bound(oldest));
+  state.closed.erase(state.closed.begin(), state.closed.lower_bound(oldest));
+}
+
 std::string EncodeCounts(const counts& value) {
   boost::json::object out;
   for (const auto& [account, requests] : value) {
--- a/src/metering/metering.h
+++ b/src/metering/metering.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -59,6 +60,46 @@
 /** @brief Removes windows before the oldest one that may still be reported. */
 void DropBefore(tally& state, window_number oldest);
 
+/**
+ * @brief What one entry knows of the usage reports.
+ *
+ * The counts of a window are frozen before its report: the first holder that
+ * reports it writes them to the store, and all holders report what the store
+ * has. A store that returns from an older copy may have lost frozen counts, so
+ * that their absence no longer proves that the window was not reported.
+ */
+struct report_log {
+  /** Encoded counts that the store confirmed as frozen, by window. */
+  std::map<window_number, std::string> frozen;
+  /** Windows whose frozen counts the store may have lost. */
+  std::set<window_number> to_restore;
+  /** Windows that need no report by this entry. */
+  std::set<window_number> closed;
+  /** Windows that were due before this time may have been frozen by another
+   * entry although the store has no counts of them. */
+  wall_time complete_from;
+};
+
+/** @brief Records that the store has these counts of a window. */
+void OnFrozen(report_log& state, window_number window, std::string counts);
+
+/**
+ * @brief Records that the store may have lost frozen counts.
+ * @param complete_from Windows due later were not frozen before the loss, or
+ * only by this entry.
+ */
+void OnCountsLost(report_log& state, wall_time complete_from);
+
+/**
+ * @brief Returns whether a window may be frozen if the store has no counts of
+ * it.
+ * @param due When the window's report was due.
+ */
+[[nodiscard]] bool MayFreeze(const report_log& state, wall_time due);
+
+/** @brief Removes windows before the oldest one that may still be reported. */
+void DropBefore(report_log& state, window_number oldest);
+
 /** @brief Encodes the frozen counts of a window as a JSON object. */
 [[nodiscard]] std::string EncodeCounts(const counts& value);
 
--- a/test/metering/metering_test.cc
+++ b/test/metering/metering_test.cc
@@ -57,6 +57,53 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(report_log)
+
+// Guards against a second report with other counts: after a loss an absent row
+// does not tell whether the window was reported.
+BOOST_AUTO_TEST_CASE(window_due_before_a_loss_may_not_be_frozen) {
+  metering::report_log state;
+  BOOST_TEST(metering::MayFreeze(state, wall_time(10s)));
+  metering::OnCountsLost(state, wall_time(20s));
+  BOOST_TEST(!metering::MayFreeze(state, wall_time(19s)));
+  BOOST_TEST(metering::MayFreeze(state, wall_time(20s)));
+}
+
+// Guards against a second loss that makes up for the first one.
+BOOST_AUTO_TEST_CASE(earlier_time_of_a_second_loss_allows_no_more_windows) {
+  metering::report_log state;
+  metering::OnCountsLost(state, wall_time(20s));
+  metering::OnCountsLost(state, wall_time(10s));
+  BOOST_TEST(!metering::MayFreeze(state, wall_time(19s)));
+}
+
+// Guards against counts that are lost for good although an entry knows them.
+BOOST_AUTO_TEST_CASE(frozen_counts_are_to_be_restored_after_each_loss) {
+  metering::report_log state;
+  metering::OnFrozen(state, 7, "{}");
+  BOOST_TEST(state.to_restore.empty());
+  for (int i = 0; i < 2; ++i) {
+    metering::OnCountsLost(state, wall_time(20s));
+    BOOST_TEST((state.to_restore == std::set<metering::window_number>{7}));
+    state.to_restore.clear();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(old_windows_are_removed_from_the_log) {
+  metering::report_log state;
+  for (const metering::window_number window : {6U, 7U}) {
+    metering::OnFrozen(state, window, "{}");
+    state.closed.insert(window);
+  }
+  metering::OnCountsLost(state, wall_time(20s));
+  metering::DropBefore(state, 7);
+  BOOST_TEST(state.frozen.size() == 1);
+  BOOST_TEST((state.to_restore == std::set<metering::window_number>{7}));
+  BOOST_TEST((state.closed == std::set<metering::window_number>{7}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(encoding)
 
 BOOST_AUTO_TEST_CASE(counts_are_equal_after_encoding_and_decoding) {
