Bound what the product's own interface keeps of an answer without end

Operators of other systems lost machines to a worker that wrote bytes without end, and with them the requests of other clients. Here the client of the own interface read bodies of up to 256 MB, had no limit for its read buffer, so that a chunk header could grow until the timeout, and none for an event of a stream.

Change: bodies of up to 16 MB (`call_limits::body_bytes`), a read buffer of 128 KB, events of up to 1 MB; whatever exceeds that ends the attempt. The splitter no longer searches an incomplete event from its start each time.

--- a/apps/mimosadeckd/chat.cc
+++ b/apps/mimosadeckd/chat.cc
@@ -236,7 +236,14 @@
       co_return co_await OnStreamBroken(context, state, held, failure,
                                         received_tokens);
     }
-    for (const auto& data : answer::Split(splitter, bytes)) {
+    const auto events = answer::Split(splitter, bytes);
+    if (answer::IsOversized(splitter)) {
+      net::call_failure failure;
+      failure.message = "event too large";
+      co_return co_await OnStreamBroken(context, state, held, failure,
+                                        received_tokens);
+    }
+    for (const auto& data : events) {
       if (data == kDoneMarker) {
         continue;
       }
--- a/src/answer/answer.cc
+++ b/src/answer/answer.cc
@@ -43,11 +43,12 @@
 std::vector<std::string> Split(event_splitter& state, std::string_view bytes) {
   constexpr std::string_view kEnd = "\n\n";
   constexpr std::string_view kData = "data: ";
+  std::size_t from = state.rest.empty() ? 0 : state.rest.size() - 1;
   state.rest.append(bytes);
   std::vector<std::string> out;
   std::size_t start = 0;
   while (true) {
-    const auto end = state.rest.find(kEnd, start);
+    const auto end = state.rest.find(kEnd, from);
     if (end == std::string::npos) {
       break;
     }
@@ -55,12 +56,16 @@
     if (event.starts_with(kData)) {
       out.emplace_back(event.substr(kData.size()));
     }
-    start = end + kEnd.size();
+    start = from = end + kEnd.size();
   }
   state.rest.erase(0, start);
   return out;
 }
 
+bool IsOversized(const event_splitter& state) {
+  return state.rest.size() > kMaxEventBytes;
+}
+
 executed ExecutionState(send_progress progress) {
   return progress == send_progress::sent ? executed::unknown : executed::no;
 }
@@ -228,6 +233,10 @@
   return complete;
 }
 
+bool IsOversized(const event_framer& state) {
+  return state.rest.size() > kMaxEventBytes;
+}
+
 bool CanEnd(const event_framer& state) {
   const bool is_empty_resumption = state.events > 0 && state.run_events == 0;
   return state.rest.empty() && !state.misplaced && !is_empty_resumption;
--- a/src/answer/answer.h
+++ b/src/answer/answer.h
@@ -1,6 +1,7 @@
 #ifndef ANSWER_ANSWER_H_
 #define ANSWER_ANSWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -74,6 +75,10 @@
   std::string data;
 };
 
+/** Greatest event of a stream. An event holds a few tokens; a larger one is
+ * treated as one without end. */
+inline constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20U;
+
 /** @brief Splits a byte stream into server-sent events. */
 struct event_splitter {
   /** Bytes of the incomplete last event. */
@@ -86,6 +91,9 @@
 [[nodiscard]] std::vector<std::string> Split(event_splitter& state,
                                              std::string_view bytes);
 
+/** @brief Returns true if the incomplete event exceeds kMaxEventBytes. */
+[[nodiscard]] bool IsOversized(const event_splitter& state);
+
 /**
  * @brief Divides a byte stream at the ends of server-sent events, unchanged.
  *
@@ -119,6 +127,9 @@
 [[nodiscard]] std::string TakeCompleteEvents(event_framer& state,
                                              std::string_view bytes);
 
+/** @brief Returns true if the incomplete event exceeds kMaxEventBytes. */
+[[nodiscard]] bool IsOversized(const event_framer& state);
+
 /** @brief Returns true if the current run may end here: not inside an event,
  * and not without an event if it was to resume a stream. */
 [[nodiscard]] bool CanEnd(const event_framer& state);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -23,7 +23,9 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
-constexpr std::uint64_t kBodyLimitBytes = 256ULL * 1024 * 1024;
+/** Size of the read buffer, which holds a head and a piece of the body. Framing
+ * without end, such as an endless chunk header, fails when it is full. */
+constexpr std::size_t kReadAheadBytes = 128U * 1024U;
 
 auto Redirect(error_code& failure) {
   return asio::redirect_error(asio::use_awaitable, failure);
@@ -102,7 +104,7 @@
   explicit pooled_connection(const asio::any_io_executor& executor)
       : stream(executor) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kReadAheadBytes};
   bool reusable{false};
 };
 
@@ -117,7 +119,7 @@
     co_return *failed;
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kBodyLimitBytes);
+  parser.body_limit(limits.body_bytes);
   error_code failure;
   connection.stream.expires_after(limits.inactivity_timeout);
   co_await http::async_read(connection.stream, connection.buffer, parser,
@@ -149,7 +151,7 @@
 struct http_stream::impl {
   explicit impl(const asio::any_io_executor& executor) : stream(executor) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{internal::kReadAheadBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   http_fields fields;
   call_limits limits;
@@ -212,7 +214,7 @@
     co_return *failed;
   }
   impl.parser.emplace();
-  impl.parser->body_limit(internal::kBodyLimitBytes);
+  impl.parser->body_limit(boost::none);
   error_code failure;
   impl.stream.expires_after(limits.inactivity_timeout);
   co_await http::async_read_header(impl.stream, impl.buffer, *impl.parser,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,6 +2,7 @@
 #define NET_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,12 +34,18 @@
 /** @brief A complete response, or the failure. */
 using call_result = std::variant<http_response, call_failure>;
 
-/** @brief Time limits of a call. */
+/** Greatest body of a response, unless a call states another limit. */
+inline constexpr std::uint64_t kDefaultBodyLimitBytes = std::uint64_t{16}
+                                                        << 20U;
+
+/** @brief Limits of a call. A response that exceeds them is a failure. */
 struct call_limits {
   std::chrono::milliseconds connect{1000};
   /** Longest time for writing the request, then for reading each part of the
    * response that is awaited at once. */
   std::chrono::milliseconds inactivity_timeout{2000};
+  /** Greatest body that is read as a whole; streams have no limit. */
+  std::uint64_t body_bytes{kDefaultBodyLimitBytes};
 };
 
 /** @brief A response whose body is read in pieces. */
--- a/test/answer/answer_test.cc
+++ b/test/answer/answer_test.cc
@@ -103,6 +103,16 @@
   }
 }
 
+// Guards against keeping an event without end.
+BOOST_AUTO_TEST_CASE(event_beyond_the_limit_is_oversized) {
+  const std::string bytes(answer::kMaxEventBytes, 'x');
+  answer::event_splitter splitter;
+  BOOST_TEST(answer::Split(splitter, bytes).empty());
+  BOOST_TEST(!answer::IsOversized(splitter));
+  BOOST_TEST(answer::Split(splitter, "x").empty());
+  BOOST_TEST(answer::IsOversized(splitter));
+}
+
 BOOST_AUTO_TEST_CASE(not_run_is_reported_only_if_nothing_was_started) {
   BOOST_TEST((answer::ExecutionState(answer::send_progress::nothing_sent) ==
               executed::no));
--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -20,6 +20,11 @@
 using asio::ip::tcp;
 
 constexpr auto kTimeout = 200ms;
+/** Size of a response that stands for one without end, and of its writes. */
+constexpr std::size_t kEndlessBytes = std::size_t{128} << 20U;
+constexpr std::size_t kEndlessWrite = std::size_t{1} << 20U;
+/** More than a client that reads no further leaves in the system's buffers. */
+constexpr std::size_t kBufferedBytes = std::size_t{32} << 20U;
 
 std::string Response(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
@@ -40,6 +45,8 @@
   std::vector<std::vector<scripted_write>> scripts;
   std::size_t next{};
   int connections{};
+  /** Bytes that were written. */
+  std::size_t written{};
 
   scripted_server() { asio::co_spawn(io, Accept(), asio::detached); }
 
@@ -70,10 +77,22 @@
         co_await asio::async_write(
             socket, asio::buffer(bytes),
             asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+          co_return;
+        }
+        written += bytes.size();
       }
     }
   }
 
+  /** Adds a response that goes on for kEndlessBytes. */
+  void AddEndlessResponse(const std::string& beginning) {
+    scripts.push_back({{0ms, beginning}});
+    for (std::size_t i = 0; i < kEndlessBytes; i += kEndlessWrite) {
+      scripts.back().push_back({0ms, std::string(kEndlessWrite, 'x')});
+    }
+  }
+
   asio::awaitable<void> SendRequest(net::call_result& out) {
     auto address =
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
@@ -100,6 +119,28 @@
   }
 };
 
+BOOST_FIXTURE_TEST_SUITE(endless_responses, scripted_server)
+
+// Guards against keeping a body without end.
+BOOST_AUTO_TEST_CASE(body_without_end_is_read_up_to_the_limit) {
+  AddEndlessResponse(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n");
+  BOOST_TEST(Call() == "failed");
+  RunFor(50ms);
+  BOOST_TEST(written < kBufferedBytes);
+}
+
+// Guards against keeping framing without end, which no body limit counts.
+BOOST_AUTO_TEST_CASE(chunk_header_without_end_is_not_kept) {
+  AddEndlessResponse(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;name=");
+  BOOST_TEST(Call() == "failed");
+  RunFor(50ms);
+  BOOST_TEST(written < kBufferedBytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(kept_connections, scripted_server)
 
 BOOST_AUTO_TEST_CASE(complete_responses_share_a_connection) {
