Count response bytes until the caller has them

Operators of other systems lost machines to a worker that wrote bytes without end, and with them the requests of other clients.

Cause: the memory that responses share counted a body while it was read. It counted no incomplete events, up to 1 MB a stream, and no body that waited for its caller; and the size of a body, not its allocation. Once it was used up, the next response to read a piece was ended, whatever it held.

Change: `forwarding::held_bytes` counts what a response has allocated from its first byte until the caller has it.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -26,13 +26,6 @@
 /** Idle limit for reusing a connection for repeatable requests. */
 constexpr std::chrono::milliseconds kMaxIdleRepeatable{5000};
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
-/** Responses not yet forwarded may use the VM's memory divided by this. */
-constexpr std::uint64_t kResponseMemoryDivisor = 4;
-/** Limit for these responses if the size of the VM's memory is unknown. */
-constexpr std::uint64_t kDefaultResponseMemoryBytes = 64U << 20U;
-constexpr std::uint64_t kBytesPerMb = 1U << 20U;
-/** An event holds a few tokens; a larger one is treated as unterminated. */
-constexpr std::size_t kMaxEventBytes = 1U << 20U;
 /** Responses to other requests that are skipped on a connection. */
 constexpr int kMaxStrayResponses = 2;
 constexpr int kFirstServerError = 500;
@@ -40,12 +33,6 @@
  * answer; one that is written for longer is not of it. */
 constexpr std::chrono::milliseconds kMaxTimeToCrash{1000};
 
-std::uint64_t ResponseMemoryLimit(const platform::machine_settings& machine) {
-  return machine.memory_mb == 0
-             ? kDefaultResponseMemoryBytes
-             : machine.memory_mb * kBytesPerMb / kResponseMemoryDivisor;
-}
-
 std::string_view DescribePosition(answer::event_position position) {
   switch (position) {
     case answer::event_position::next:
@@ -62,25 +49,6 @@
   return "unlisted position";
 }
 
-/** @brief Counts the buffered bytes of one response in the total of all. */
-class buffered_bytes {
- public:
-  explicit buffered_bytes(std::shared_ptr<std::uint64_t> total)
-      : total_(std::move(total)) {}
-  ~buffered_bytes() { *total_ -= own_; }
-  buffered_bytes(const buffered_bytes&) = delete;
-  buffered_bytes& operator=(const buffered_bytes&) = delete;
-
-  void Add(std::uint64_t bytes) {
-    own_ += bytes;
-    *total_ += bytes;
-  }
-
- private:
-  std::shared_ptr<std::uint64_t> total_;
-  std::uint64_t own_{};
-};
-
 /** @brief One attempt at one upstream. */
 class attempt {
  public:
@@ -93,6 +61,7 @@
         selection_(std::move(selection)),
         exchange_(exchange),
         call_(state.upstream_connections, state.io.get_executor()),
+        held_(state.response_memory),
         stall_timer_(state.io) {}
   ~attempt() { context_->active_call = nullptr; }
   attempt(const attempt&) = delete;
@@ -203,7 +172,7 @@
         MeansNotExecuted(response.status)) {
       co_return attempt_failure{attempt_end::failed, false,
                                 "status " + std::to_string(response.status),
-                                std::move(response)};
+                                std::move(response), std::move(held_)};
     }
     constexpr int kFirstRedirect = 300;
     const bool is_success = response.status < kFirstRedirect;
@@ -213,12 +182,12 @@
           attempt_end::broke_off, false,
           "response is unsigned or does not continue the stream", std::nullopt};
     }
-    co_return complete_response{std::move(response), is_success};
+    co_return complete_response{std::move(response), is_success,
+                                std::move(held_)};
   }
 
   /** Reads a complete body, within the memory limit shared by all responses. */
   asio::awaitable<net::http_call::piece> ReadResponseBody() {
-    buffered_bytes buffered(state_.buffered_response_bytes);
     std::string body;
     while (true) {
       auto piece = co_await call_.ReadPiece();
@@ -229,11 +198,9 @@
       if (bytes.empty()) {
         co_return body;
       }
-      buffered.Add(bytes.size());
       body += bytes;
-      if (body.size() > kMaxResponseBytes ||
-          *state_.buffered_response_bytes >
-              ResponseMemoryLimit(state_.machine)) {
+      held_.Set(body.capacity());
+      if (body.size() > kMaxResponseBytes || !held_.IsWithinLimit()) {
         call_.Close();
         co_return net::call_failure{net::call_progress::sent, false,
                                     "response too large"};
@@ -258,7 +225,8 @@
         break;
       }
       auto whole_events = answer::TakeCompleteEvents(context_->framer, bytes);
-      if (context_->framer.rest.size() > kMaxEventBytes) {
+      held_.Set(context_->framer.rest.capacity() + whole_events.capacity());
+      if (answer::IsOversized(context_->framer) || !held_.IsWithinLimit()) {
         call_.Close();
         co_return MakeFailure(
             {net::call_progress::sent, false, "event too large"});
@@ -274,6 +242,7 @@
       RecordIfLasting();
       RestartStallTimer();
       const bool is_written = co_await ForwardEvents(std::move(whole_events));
+      held_.Set(context_->framer.rest.capacity());
       if (!is_written) {
         call_.Close();
         context_->caller_left = true;
@@ -490,6 +459,8 @@
   placement::selection selection_;
   net::exchange& exchange_;
   net::http_call call_;
+  /** Bytes of the response that were received and not yet passed on. */
+  forwarding::held_bytes held_;
   asio::steady_timer stall_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
   steady::time_point started_;
--- a/apps/mimosadeckd/edge/attempt.h
+++ b/apps/mimosadeckd/edge/attempt.h
@@ -21,6 +21,8 @@
   net::http_response response;
   /** The status is below 300. */
   bool is_success{};
+  /** Counts the body until the response was sent. */
+  forwarding::held_bytes held;
 };
 
 /** @brief An event stream that was forwarded to its end. */
@@ -35,6 +37,8 @@
   std::string reason;
   /** The upstream's error response, if it sent one. */
   std::optional<net::http_response> upstream_response;
+  /** Counts the body of this response until it was sent; unset without one. */
+  std::optional<forwarding::held_bytes> held = std::nullopt;
 };
 
 using attempt_result =
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -17,6 +17,17 @@
 constexpr std::size_t kMaxIdleConnections = 16;
 /** Upstream crashes attributed to a request that condemn it. */
 constexpr std::uint32_t kCrashesToCondemn = 3;
+/** Responses not yet passed on may use the VM's memory divided by this. */
+constexpr std::uint64_t kResponseMemoryDivisor = 4;
+/** Limit for these responses if the size of the VM's memory is unknown. */
+constexpr std::uint64_t kDefaultResponseMemoryBytes = std::uint64_t{64} << 20U;
+constexpr unsigned kMbShift = 20;
+
+std::uint64_t ResponseMemoryLimit(const platform::machine_settings& machine) {
+  return machine.memory_mb == 0
+             ? kDefaultResponseMemoryBytes
+             : (machine.memory_mb << kMbShift) / kResponseMemoryDivisor;
+}
 
 platform::client_options ClientOptions(
     const platform::machine_settings& machine) {
@@ -52,6 +63,7 @@
   rate_limit_options.settle_time = this->machine.bounds.contact_recovery_time;
   participants.self = this->machine.name;
   participants.started_at = started_at;
+  response_memory->limit = internal::ResponseMemoryLimit(this->machine);
   lease.self = ProcessIdentity(this->machine.name, incarnation);
 }
 
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -123,9 +123,9 @@
   /** Service times by route name. */
   std::map<std::string, forwarding::service_times, std::less<>> service_times;
   forwarding::service_time_options service_time_options;
-  /** Response bytes that were read from upstreams but not yet forwarded. */
-  std::shared_ptr<std::uint64_t> buffered_response_bytes{
-      std::make_shared<std::uint64_t>(0)};
+  /** Shared because responses may outlive the event loop. */
+  std::shared_ptr<forwarding::response_memory> response_memory{
+      std::make_shared<forwarding::response_memory>()};
   /** Requests suspected of, or condemned for, crashing upstreams. */
   quarantine::suspect_table quarantine;
   quarantine::options quarantine_options;
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "forwarding/fwd.h"
+#include "forwarding/response_memory.h"
 #include "forwarding/service_time.h"
 #include "routing/routing.h"
 
--- a/src/forwarding/fwd.h
+++ b/src/forwarding/fwd.h
@@ -5,7 +5,9 @@
 
 enum class attempt_end;
 enum class next_step;
+class held_bytes;
 struct progress;
+struct response_memory;
 
 }  // namespace mimosadeck::forwarding
 
--- a/test/system/deployment.cc
+++ b/test/system/deployment.cc
@@ -144,6 +144,18 @@
   kill(impl_->pid, number);
 }
 
+std::uint64_t process::PeakMemory() const {
+  constexpr std::uint64_t kBytesPerKb = 1024;
+  std::ifstream status("/proc/" + std::to_string(impl_->pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) {
+      return std::stoull(line.substr(line.find_first_of("0123456789"))) *
+             kBytesPerKb;
+    }
+  }
+  throw std::runtime_error("the process states no peak memory");
+}
+
 int process::Wait() {
   if (!impl_->ended) {
     int status = 0;
--- a/test/system/deployment.h
+++ b/test/system/deployment.h
@@ -2,6 +2,7 @@
 #define TEST_SYSTEM_DEPLOYMENT_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,9 @@
   /** @brief Sends a signal. */
   void Signal(int number) const;
 
+  /** @brief Returns the greatest resident memory so far, in bytes. */
+  [[nodiscard]] std::uint64_t PeakMemory() const;
+
   /** @brief Waits for the process to end. @return Exit status, or -signal. */
   [[nodiscard]] int Wait();
 
--- a/test/system/one_entry.h
+++ b/test/system/one_entry.h
@@ -88,6 +88,8 @@
   /** The first manifest. */
   std::string manifest{Manifest(1, "k1")};
   std::chrono::seconds billing_window{5};
+  /** Memory of the entry's VM, in MB; 0 if it is not stated. */
+  int memory_mb{};
 };
 
 /** @brief Fixture that runs one entry process with a store and two upstreams.
@@ -101,6 +103,7 @@
   net::connection_cache cache{4};
   std::chrono::seconds stop_grace;
   std::chrono::seconds billing_window;
+  int memory_mb;
   std::filesystem::path settings;
   std::unique_ptr<process> entry;
   std::string callers;
@@ -109,7 +112,9 @@
   std::string control;
 
   explicit one_entry(entry_options options = {})
-      : stop_grace(options.stop_grace), billing_window(options.billing_window) {
+      : stop_grace(options.stop_grace),
+        billing_window(options.billing_window),
+        memory_mb(options.memory_mb) {
     store.Put("op", "config", options.manifest);
     store.Put("servers", "u1", first.Entry("ready"));
     store.Put("servers", "u2", second.Entry("ready"));
@@ -143,6 +148,7 @@
         {"bounds",
          {{"grace_s", stop_grace.count()},
           {"report_window_s", billing_window.count()}}},
+        {"limits", {{"memory_mb", memory_mb}}},
         {"provider", {{"address", store.Address()}}},
         {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
     std::ofstream(path) << json::serialize(content);
