--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -123,7 +123,8 @@
   /** Service times by route name. */
   std::map<std::string, forwarding::service_times, std::less<>> service_times;
   forwarding::service_time_options service_time_options;
-  /** Shared because responses may outlive the event loop. */
+  /** Memory for responses on their way to callers; shared because they may
+   * outlive the event loop. */
   std::shared_ptr<forwarding::response_memory> response_memory{
       std::make_shared<forwarding::response_memory>()};
   /** Requests suspected of, or condemned for, crashing upstreams. */
