Name what ends an attempt for other responses' sake, and mend comments

Cause: an attempt that ended since the shared memory was used up was logged as "event too large" or "response too large", which it was not; the size of the read buffer stood in two files; the reason for fencing numbers had gone from its comment.

Limits and behaviour stay.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -26,6 +26,8 @@
 /** Idle limit for reusing a connection for repeatable requests. */
 constexpr std::chrono::milliseconds kMaxIdleRepeatable{5000};
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
+/** Reason of an attempt that ends because of other responses. */
+constexpr const char* kNoMemoryLeft = "no memory left for responses";
 /** Responses to other requests that are skipped on a connection. */
 constexpr int kMaxStrayResponses = 2;
 constexpr int kFirstServerError = 500;
@@ -200,10 +202,12 @@
       }
       body += bytes;
       held_.Set(body.capacity());
-      if (body.size() > kMaxResponseBytes || !held_.IsWithinLimit()) {
+      const bool is_oversized = body.size() > kMaxResponseBytes;
+      if (is_oversized || !held_.IsWithinLimit()) {
         call_.Close();
-        co_return net::call_failure{net::call_progress::sent, false,
-                                    "response too large"};
+        co_return net::call_failure{
+            net::call_progress::sent, false,
+            is_oversized ? "response too large" : kNoMemoryLeft};
       }
     }
   }
@@ -226,10 +230,12 @@
       }
       auto whole_events = answer::TakeCompleteEvents(context_->framer, bytes);
       held_.Set(context_->framer.rest.capacity() + whole_events.capacity());
-      if (answer::IsOversized(context_->framer) || !held_.IsWithinLimit()) {
+      const bool is_oversized = answer::IsOversized(context_->framer);
+      if (is_oversized || !held_.IsWithinLimit()) {
         call_.Close();
         co_return MakeFailure(
-            {net::call_progress::sent, false, "event too large"});
+            {net::call_progress::sent, false,
+             is_oversized ? "event too large" : kNoMemoryLeft});
       }
       if (whole_events.empty() && !context_->framer.misplaced) {
         continue;
--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -196,9 +196,9 @@
  * Returns the time from which this entry knows of every window that was frozen
  * before the store's new era.
  *
- * No other entry froze one while this one held the lease. A process that hears
- * the store for the first time has learned nothing before, and windows that end
- * later cannot have been frozen yet.
+ * No other entry froze one while this one held the lease. If this is the first
+ * response of the store, this entry knows of no window before it; windows that
+ * end later cannot have been frozen yet.
  */
 wall_time duties::ReportsKnownFrom(bool is_first_response) {
   if (is_first_response) {
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -46,8 +46,8 @@
 /** @brief Value of the lease row in the table service. */
 struct record {
   std::string holder;
-  /** Fencing number of the holder. A takeover writes that of the former holder,
-   * since the store determines the new one; the first renewal corrects it. */
+  /** Fencing number of the holder; until its first renewal, that of the former
+   * holder, since the store determines the number of a takeover. */
   std::uint64_t fencing{};
   /** Increases with each renewal. */
   std::uint64_t counter{};
@@ -75,7 +75,8 @@
    * Fencing number of the lease that this process acquired last: the version of
    * the write that acquired it. No other takeover has the same version, and
    * each one has a higher version than those before it, whatever has become of
-   * the lease row in between.
+   * the lease row in between, so that targets can reject calls of former
+   * holders.
    */
   std::uint64_t fencing{};
   /** The lease row existed when this process acquired the lease. */
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -11,6 +11,7 @@
 
 #include "net/address.h"
 #include "net/http_fields.h"
+#include "net/read_buffer.h"
 #include "net/socket_options.h"
 
 namespace mimosadeck::net {
@@ -28,9 +29,6 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
 constexpr std::uint32_t kHeadLimitBytes = 64U * 1024U;
-/** Size of the read buffer, which holds a head and a piece of the body. Framing
- * without end, such as an endless chunk header, fails when it is full. */
-constexpr std::size_t kReadAheadBytes = 2 * kHeadLimitBytes;
 /** Interim responses (1xx) allowed before the final one; servers send one or
  * two. */
 constexpr int kMaxInterimResponses = 8;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include "net/address.h"
+#include "net/read_buffer.h"
 
 namespace mimosadeck::net {
 
@@ -23,9 +24,6 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
-/** Size of the read buffer, which holds a head and a piece of the body. Framing
- * without end, such as an endless chunk header, fails when it is full. */
-constexpr std::size_t kReadAheadBytes = 128U * 1024U;
 
 auto Redirect(error_code& failure) {
   return asio::redirect_error(asio::use_awaitable, failure);
