Test restarts of all, other releases' rows, and each form at the own interface

Cause: no test restarted every process around a return of the store, none read a lease row of another release, and the own interface's client was tested for two forms of an answer without end.

Change: handover_test restarts all contenders at three of ten returns; returned_store_system_test restarts all entries and looks for windows reported again; lease_test has a row with counted numbers and one for a reader that counts; http_client_test plays eleven forms as whole responses and as streams.

--- a/test/lease/handover_test.cc
+++ b/test/lease/handover_test.cc
@@ -24,6 +24,9 @@
 /** Age of the oldest copy from which the store returns, in copies. */
 constexpr std::size_t kCopies = 12;
 constexpr auto kCopyInterval = 500ms;
+/** Probability that all contenders restart when the store returns, so that none
+ * remembers its former numbers. */
+constexpr double kRestartOfAll = 0.3;
 /** @brief Probabilities of faults. Each seed disables some of them, so that
  * rare combinations of the others occur. */
 struct fault_rates {
@@ -162,6 +165,11 @@
       return;
     }
     ReturnFromCopy(store_, copies_[random_() % copies_.size()]);
+    if (Chance(kRestartOfAll)) {
+      for (std::size_t i = 0; i < all_.size(); ++i) {
+        Start(i);
+      }
+    }
     returns_from_copy_ = false;
     copies_.clear();
     next_copy_at_ = now_;
--- a/test/lease/lease_test.cc
+++ b/test/lease/lease_test.cc
@@ -101,6 +101,34 @@
   BOOST_TEST(b.fencing > a.fencing);
 }
 
+// Guards against a number that goes back at an upgrade: the row is from an
+// entry that counted takeovers in it, as often as it was written.
+BOOST_AUTO_TEST_CASE(takeover_of_a_row_with_counted_numbers_has_a_higher_one) {
+  lease::record counted{"old#1", 0, 0, false};
+  for (std::uint64_t version = 0; version < 5; ++version) {
+    ++counted.fencing;
+    infra::commit takeover;
+    takeover.conditions.push_back({lease::RowKey("work"), version});
+    takeover.writes.push_back(
+        {lease::RowKey("work"), lease::EncodeRecord(counted)});
+    BOOST_REQUIRE(
+        std::holds_alternative<infra::committed>(Handle(store, takeover)));
+  }
+  Run({&a}, 6s);
+  BOOST_REQUIRE(lease::IsHeld(a, now));
+  BOOST_TEST(a.fencing > counted.fencing);
+}
+
+// Guards against a number that goes back at a downgrade: an entry that counts
+// takeovers in the row adds one to the number there.
+BOOST_AUTO_TEST_CASE(row_states_the_number_of_its_holder_after_a_renewal) {
+  Run({&a}, 1s);
+  BOOST_REQUIRE(lease::IsHeld(a, now));
+  const auto row = lease::DecodeRecord(store.rows.at("lease/work").value);
+  BOOST_REQUIRE(row);
+  BOOST_TEST(row->fencing == a.fencing);
+}
+
 // Guards against two holders with one fencing number: the store returns from a
 // copy without the takeover of b, and a takes the lease over once more.
 BOOST_AUTO_TEST_CASE(takeover_after_a_lost_takeover_has_a_number_of_its_own) {
--- a/test/net/http_client_test.cc
+++ b/test/net/http_client_test.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 
 #include "net/net.h"
 
@@ -31,6 +33,20 @@
          "\r\n\r\n" + body;
 }
 
+/** Time in which the server writes what the client's system still takes. */
+constexpr auto kSettleTime = 50ms;
+
+/** A response without end: its beginning, and what follows again and again. */
+struct endless_response {
+  const char* name;
+  std::string beginning;
+  std::string part;
+};
+
+std::ostream& operator<<(std::ostream& out, const endless_response& form) {
+  return out << form.name;
+}
+
 /** A server that writes the next script after each request: pairs of a pause
  * and bytes. */
 struct scripted_server {
@@ -47,6 +63,7 @@
   int connections{};
   /** Bytes that were written. */
   std::size_t written{};
+  std::shared_ptr<net::http_stream> kept_stream;
 
   scripted_server() { asio::co_spawn(io, Accept(), asio::detached); }
 
@@ -86,13 +103,46 @@
   }
 
   /** Adds a response that goes on for kEndlessBytes. */
-  void AddEndlessResponse(const std::string& beginning) {
-    scripts.push_back({{0ms, beginning}});
-    for (std::size_t i = 0; i < kEndlessBytes; i += kEndlessWrite) {
-      scripts.back().push_back({0ms, std::string(kEndlessWrite, 'x')});
+  void AddEndlessResponse(const endless_response& form) {
+    std::string part;
+    while (part.size() < kEndlessWrite) {
+      part += form.part;
+    }
+    scripts.push_back({{0ms, form.beginning}});
+    for (std::size_t i = 0; i < kEndlessBytes; i += part.size()) {
+      scripts.back().push_back({0ms, part});
+    }
+  }
+
+  asio::awaitable<void> ReadFirstPiece(std::string& out) {
+    auto address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const net::call_limits limits{kTimeout, kTimeout};
+    net::http_request request;
+    auto opened = co_await net::OpenStream(std::move(address),
+                                           std::move(request), limits);
+    if (auto* stream =
+            std::get_if<std::shared_ptr<net::http_stream>>(&opened)) {
+      auto piece = co_await (*stream)->ReadPiece();
+      if (auto* bytes = std::get_if<std::string>(&piece)) {
+        out = std::move(*bytes);
+      }
+      kept_stream = *stream;
     }
   }
 
+  /** Opens a response as a stream and returns the first piece of its body. The
+   * stream stays open. */
+  std::string FirstPiece() {
+    std::string out;
+    auto work = ReadFirstPiece(out);
+    asio::co_spawn(io, std::move(work),
+                   [this](std::exception_ptr) { io.stop(); });
+    io.restart();
+    io.run();
+    return out;
+  }
+
   asio::awaitable<void> SendRequest(net::call_result& out) {
     auto address =
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
@@ -119,23 +169,49 @@
   }
 };
 
-BOOST_FIXTURE_TEST_SUITE(endless_responses, scripted_server)
+/** Beginnings of responses; what follows them has no end. */
+const std::vector<endless_response> kEndlessResponses{
+    {"status_line", "HTTP/1.1 200 ", "x"},
+    {"fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+    {"one_field", "HTTP/1.1 200 OK\r\nX-Field: ", "x"},
+    {"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"no_response", "", "no response "},
+    {"length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+    {"until_close", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"one_chunk",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n", "x"},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "10\r\n0123456789abcdef\r\n"},
+    {"chunk_extension",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;name=", "x"},
+    {"trailer",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+     "X-Field: value\r\n"},
+};
 
-// Guards against keeping a body without end.
-BOOST_AUTO_TEST_CASE(body_without_end_is_read_up_to_the_limit) {
-  AddEndlessResponse(
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n");
-  BOOST_TEST(Call() == "failed");
-  RunFor(50ms);
+BOOST_AUTO_TEST_SUITE(endless_responses)
+
+// Guards against keeping a response without end.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       response_without_end_is_read_up_to_a_limit,
+                       boost::unit_test::data::make(kEndlessResponses),
+                       form) {
+  AddEndlessResponse(form);
+  const auto body = Call();
+  RunFor(kSettleTime);
+  BOOST_TEST(body.size() < kBufferedBytes);
   BOOST_TEST(written < kBufferedBytes);
 }
 
-// Guards against keeping framing without end, which no body limit counts.
-BOOST_AUTO_TEST_CASE(chunk_header_without_end_is_not_kept) {
-  AddEndlessResponse(
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;name=");
-  BOOST_TEST(Call() == "failed");
-  RunFor(50ms);
+// Guards against a stream that is read further than its pieces are taken: its
+// head, framing or piece has no end.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       stream_without_end_is_read_no_further_than_asked,
+                       boost::unit_test::data::make(kEndlessResponses),
+                       form) {
+  AddEndlessResponse(form);
+  BOOST_TEST(FirstPiece().size() < kBufferedBytes);
+  RunFor(kSettleTime);
   BOOST_TEST(written < kBufferedBytes);
 }
 
--- a/test/system/returned_store_system_test.cc
+++ b/test/system/returned_store_system_test.cc
@@ -137,6 +137,25 @@
   }
 }
 
+// Guards against a second report of a window once nobody remembers the first
+// one: the store has lost its counts, and all entries have restarted.
+BOOST_AUTO_TEST_CASE(window_is_not_reported_again_once_all_entries_restarted) {
+  BOOST_REQUIRE(HasReportOf("entry-1"));
+  Kill(*entry);
+  store.ReturnFromCopy();
+  StartOther();
+  BOOST_REQUIRE(HasReportOf("entry-2"));
+  std::map<std::int64_t, std::set<std::string>> holders;
+  for (const auto& report : store.reports) {
+    holders[WindowOf(report)].insert(report.holder);
+  }
+  for (const auto& [window, names] : holders) {
+    BOOST_TEST_CONTEXT("window " << window) {
+      BOOST_TEST(names.size() == 1);
+    }
+  }
+}
+
 // Guards against reported counts that the store has lost: whoever reports next
 // has to find them.
 BOOST_AUTO_TEST_CASE(reported_counts_are_in_the_store_again_after_the_return) {
