Obey evacuations of data centres and divide the rate of cold upstreams

Cause: `op/evacuate/NAME` and the cold period of registrations were read by nobody.

Change: `src/evacuation` keeps which data centres are evacuated, by the place in the store's history at which each statement was made; digests, summaries and registry copies carry it. Pools leave evacuated upstreams out, and sizing orders what the other data centres need at once.

`shared_limit_test` is unchanged in what it plays and checks; its model of a fleet moved to `fleet_model.h`, which `warm_up_test` shares.

--- a/apps/mimosadeckd/edge/duties.cc
+++ b/apps/mimosadeckd/edge/duties.cc
@@ -43,6 +43,16 @@
     return out;
   }
   const auto& pool = found->second;
+  for (auto& data_centre : evacuation::Evacuated(state.evacuations)) {
+    out.evacuated.insert(std::move(data_centre));
+  }
+  for (const auto& upstream :
+       registry::UsableUpstreams(state.upstreams, service.name)) {
+    if (out.evacuated.contains(upstream->data_centre)) {
+      auto& ready = out.ready[upstream->data_centre];
+      ++(upstream->evictable ? ready.evictable : ready.lasting);
+    }
+  }
   std::vector<std::uint32_t> slots;
   for (const auto& [name, candidate] : pool.candidates) {
     auto& ready = out.ready[candidate.upstream->data_centre];
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -4,6 +4,7 @@
 
 #include "mimosadeckd/edge/attempt.h"
 #include "mimosadeckd/edge/upstream_signs.h"
+#include "mimosadeckd/edge/warm_up.h"
 
 namespace mimosadeck::edge {
 namespace internal {
@@ -96,12 +97,16 @@
     const placement::pool& pool,
     const placement::job& job) {
   std::optional<std::chrono::milliseconds> shortest;
-  for (const auto& [incarnation, candidate] : pool.candidates) {
-    const auto interval = rate_limit::PermitInterval(
-        state.permits, state.rate_limit_options, incarnation);
+  const auto consider = [&shortest](const auto& interval) {
     if (interval) {
       shortest = std::min(shortest.value_or(*interval), *interval);
     }
+  };
+  for (const auto& [incarnation, candidate] : pool.candidates) {
+    consider(rate_limit::PermitInterval(state.permits, state.rate_limit_options,
+                                        incarnation));
+    consider(rate_limit::PermitInterval(state.warm_up_permits,
+                                        state.warm_up_options, incarnation));
   }
   if (!shortest) {
     return std::nullopt;
@@ -113,27 +118,42 @@
   return wait + wait * step / kRetrySteps;
 }
 
-/** @brief Chooses an upstream that may get a request now, and uses a permit if
- * it is limited. */
+/** @brief Uses a permit if the upstream is limited by this table. */
+void TakePermitIfLimited(edge_state& state,
+                         rate_limit::permit_table& permits,
+                         const placement::selection& chosen,
+                         const std::string& metric) {
+  if (rate_limit::HasPermit(permits, chosen.incarnation)) {
+    static_cast<void>(rate_limit::TakePermit(permits, chosen.incarnation));
+    state.metrics.Count(metric, "service", chosen.upstream->service);
+  }
+}
+
+/** @brief Chooses an upstream that may get a request now, and uses permits if
+ * it is limited or cold. */
 std::optional<placement::selection> ChooseUpstream(edge_state& state,
                                                    request_context& context) {
   RefreshPermits(state);
+  RefreshWarmUpPermits(state);
   const auto& pool = state.pools[context.service];
   auto excluded = context.tried_upstreams;
   context.limited_upstreams = 0;
-  for (auto& incarnation : rate_limit::WithoutPermit(state.permits)) {
-    if (pool.candidates.contains(incarnation)) {
-      ++context.limited_upstreams;
-      excluded.insert(incarnation);
+  for (const auto* permits : {&state.permits, &state.warm_up_permits}) {
+    for (auto& incarnation : rate_limit::WithoutPermit(*permits)) {
+      if (pool.candidates.contains(incarnation)) {
+        ++context.limited_upstreams;
+        excluded.insert(incarnation);
+      }
     }
   }
   auto out =
       placement::Choose(pool, state.placement_options, context.job,
                         state.machine.data_centre, excluded, SuspendAwareNow());
-  if (out && rate_limit::HasPermit(state.permits, out->incarnation)) {
-    static_cast<void>(rate_limit::TakePermit(state.permits, out->incarnation));
-    state.metrics.Count("mimosadeck_upstream_permits_used_total", "service",
-                        context.service);
+  if (out) {
+    TakePermitIfLimited(state, state.permits, *out,
+                        "mimosadeck_upstream_permits_used_total");
+    TakePermitIfLimited(state, state.warm_up_permits, *out,
+                        "mimosadeck_warm_up_permits_used_total");
   }
   if (context.limited_upstreams > 0) {
     state.metrics.Count("mimosadeck_upstreams_held_back_total", "service",
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -7,10 +7,12 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/crashes.h"
+#include "mimosadeckd/edge/evacuations.h"
 #include "mimosadeckd/edge/peer_input.h"
 #include "mimosadeckd/edge/rows.h"
 #include "mimosadeckd/edge/tasks.h"
 #include "mimosadeckd/edge/upstream_signs.h"
+#include "mimosadeckd/edge/warm_up.h"
 #include "net/address.h"
 
 namespace mimosadeck::edge {
@@ -164,6 +166,7 @@
   for (const auto& member : received.members()) {
     AddPeer(member.peer_address(), received.relay());
   }
+  MergeEvacuations(state_, received.evacuations(), received.relay());
   fleet::OnSummary(state_.members, std::move(received), state_.machine.name,
                    LocalTime(state_), SuspendAwareNow());
 }
@@ -200,6 +203,7 @@
   const bool is_new = !state_.members.by_name.contains(name);
   const bool needs_summary = fleet::SendsSummary(
       state_.members, state_.fleet_options, SelfInfo(state_), received, now);
+  MergeEvacuations(state_, received.evacuations(), name);
   const bool is_accepted = fleet::OnDigest(state_.members, std::move(received),
                                            sender, LocalTime(state_), now);
   if (is_accepted && needs_summary) {
@@ -288,6 +292,7 @@
     for (auto& peer : SelectKnownPeers()) {
       plain.mutable_digest()->add_known_peers(std::move(peer));
     }
+    AddEvacuations(state_, *plain.mutable_digest()->mutable_evacuations());
   }
   auto with_counts = plain;
   internal::FillCounts(state_, *with_counts.mutable_digest());
@@ -393,6 +398,7 @@
     kept.clear_known_peers();
     kept.clear_wants_summary();
     relayed.set_peer_address(address);
+    kept.clear_evacuations();
     relayed.set_age_ms(static_cast<std::uint32_t>(age.count()));
   };
   add(own, own_address_, std::chrono::milliseconds(0));
@@ -427,6 +433,7 @@
   for (const auto& member : unchanged) {
     auto& encoded = *head.add_heard();
     encoded.set_identity(fleet::IdentityOf(member.record()));
+  AddEvacuations(state_, *head.mutable_evacuations());
     encoded.set_age_ms(member.age_ms());
   }
   for (std::size_t i = 0; i < records.size(); ++i) {
@@ -471,6 +478,8 @@
     state_.placement_options.sample_size =
         fleet::IsFullMesh(state_.members, state_.fleet_options)
             ? 0
+    RefreshWarmUp(state_);
+    EndLostEvacuations(state_);
             : internal::kLargeFleetSampleSize;
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -12,23 +12,27 @@
 
 void ObservePool(telemetry::metrics& metrics,
                  const rate_limit::limit_table& limits,
+                 const rate_limit::limit_table& warm_up_limits,
                  const std::string& service,
                  const placement::pool& pool,
                  mono_time now) {
   placement::load all;
   int ejected = 0;
   int limited = 0;
+  int cold = 0;
   for (const auto& [name, candidate] : pool.candidates) {
     const auto load = placement::TotalLoad(candidate);
     all.running += load.running;
     all.unread_tokens += load.unread_tokens;
     ejected += outlier::IsEjected(candidate.health, now) ? 1 : 0;
     limited += rate_limit::LimitOf(limits, name) ? 1 : 0;
+    cold += rate_limit::LimitOf(warm_up_limits, name) ? 1 : 0;
   }
   metrics.Set("mimosadeck_upstreams", "service", service,
               static_cast<double>(pool.candidates.size()));
   metrics.Set("mimosadeck_upstreams_ejected", "service", service, ejected);
   metrics.Set("mimosadeck_upstreams_limited", "service", service, limited);
+  metrics.Set("mimosadeck_upstreams_cold", "service", service, cold);
   metrics.Set("mimosadeck_upstream_requests_running", "service", service,
               all.running);
   metrics.Set("mimosadeck_upstream_unread_tokens", "service", service,
@@ -77,7 +81,8 @@
       "mimosadeck_condemned_prompt_parts", "entry", entry,
       static_cast<double>(quarantine::CondemnedPartCount(state.quarantine)));
   for (const auto& [service, pool] : state.pools) {
-    internal::ObservePool(metrics, state.limits, service, pool, now);
+    internal::ObservePool(metrics, state.limits, state.warm_up_limits, service,
+                          pool, now);
   }
   for (const auto& [service, budget] : state.retry_budgets) {
     metrics.Set("mimosadeck_retry_budget", "service", service,
--- a/apps/mimosadeckd/edge/peer_input.cc
+++ b/apps/mimosadeckd/edge/peer_input.cc
@@ -23,6 +23,7 @@
   out.entry.draining = from.draining();
   out.entry.evictable = from.evictable();
   out.entry.started_at_ms = from.started_at_ms();
+  out.entry.cold_for = std::chrono::milliseconds(from.cold_ms());
   out.version = registry::store_version{from.version()};
   if (from.has_dropped_after_ms()) {
     out.dropped_after = std::chrono::milliseconds(from.dropped_after_ms());
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "mimosadeckd/edge/upstream_signs.h"
+#include "mimosadeckd/edge/warm_up.h"
 
 namespace mimosadeck::edge {
 namespace internal {
@@ -74,6 +75,7 @@
 wall_time LocalTime(edge_state& state) {
   return fleet::ReadClock(state.clock, state.clock_options,
                           std::chrono::system_clock::now(), SuspendAwareNow());
+  warm_up_options = rate_limit::WarmUpOptions(rate_limit_options.settle_time);
 }
 
 wall_time FleetTime(edge_state& state) {
@@ -100,7 +102,9 @@
                                    .value_or(std::chrono::milliseconds(0));
     auto usable = registry::UsableUpstreams(state.upstreams, service.name);
     std::erase_if(usable, [&state](const auto& upstream) {
-      return availability::IsLeaving(state.availability,
+      return evacuation::IsEvacuated(state.evacuations,
+                                     upstream->data_centre) ||
+             availability::IsLeaving(state.availability,
                                      registry::IncarnationOf(*upstream));
     });
     placement::SetUpstreams(pool, usable);
@@ -121,6 +125,7 @@
     for (const auto* member :
          fleet::LiveMembers(state.members, state.fleet_options, now)) {
       fleet::Add(work, member->last.work());
+  RefreshWarmUp(state);
     }
   }
   for (auto& [name, pool] : state.pools) {
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -14,6 +14,7 @@
 
 #include "availability/availability.h"
 #include "base/base.h"
+#include "evacuation/evacuation.h"
 #include "fleet/fleet.h"
 #include "forwarding/forwarding.h"
 #include "lease/lease.h"
@@ -118,6 +119,13 @@
   rate_limit::participants participants;
   /** This entry's part of the limits. */
   rate_limit::permit_table permits;
+  /** Limits of the upstreams that are cold, and this entry's part of them. */
+  rate_limit::limit_table warm_up_limits;
+  rate_limit::options warm_up_options;
+  rate_limit::permit_table warm_up_permits;
+  /** Data centres that the operators evacuated. */
+  evacuation::evacuation_table evacuations;
+  evacuation::options evacuation_options;
   /** Retry budgets by service name. */
   std::map<std::string, retry::budget, std::less<>> retry_budgets;
   /** Service times by route name. */
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "mimosadeckd/edge/evacuations.h"
 #include "mimosadeckd/edge/peer_input.h"
 #include "wire/digest.pb.h"
 
@@ -218,6 +219,9 @@
   out.set_evictable(from.entry.evictable);
   out.set_started_at_ms(from.entry.started_at_ms);
   out.set_version(registry::ToInteger(from.version));
+  if (from.entry.cold_for.count() > 0) {
+    out.set_cold_ms(static_cast<std::uint32_t>(from.entry.cold_for.count()));
+  }
   if (from.dropped_after) {
     out.set_dropped_after_ms(
         static_cast<std::uint32_t>(from.dropped_after->count()));
@@ -238,6 +242,7 @@
                    {{"origin", origin}});
     return;
   }
+  MergeEvacuations(state, received.evacuations(), origin);
   auto update = DecodeRegistry(received, origin);
   const auto before = state.upstreams.by_id;
   const auto now = SuspendAwareNow();
@@ -355,14 +360,14 @@
 
 asio::awaitable<void> FollowManifest(edge_state& state) {
   internal::dependency_log store("store.manifest");
-  state.platform.ReadManifestAgain();
+  state.platform.ReadOperatorRowsAgain();
   while (!state.stopping) {
     if (!FollowsStore(state)) {
       co_await Sleep(fleet::kVersionCheckInterval);
       continue;
     }
-    auto step =
-        co_await state.platform.NextManifest(internal::Pace(state).feed_wait);
+    auto step = co_await state.platform.NextOperatorUpdate(
+        internal::Pace(state).feed_wait);
     const auto now = SuspendAwareNow();
     if (const auto* away = std::get_if<platform::store_failure>(&step)) {
       store.OnFailure(away->reason, now);
@@ -370,8 +375,10 @@
       continue;
     }
     store.OnAnswer(now);
-    if (const auto* written = std::get_if<platform::manifest_update>(&step)) {
-      AdoptManifest(state, written->text, "store");
+    const auto& update = std::get<platform::operator_update>(step);
+    ApplyEvacuations(state, update);
+    if (update.manifest) {
+      AdoptManifest(state, *update.manifest, "store");
     }
   }
 }
@@ -507,6 +514,7 @@
   for (const auto& id : changes.gone) {
     out.add_gone(id);
   }
+  AddEvacuations(state, *out.mutable_evacuations());
   return out.SerializeAsString();
 }
 
--- a/apps/mimosadeckd/edge/sync.h
+++ b/apps/mimosadeckd/edge/sync.h
@@ -25,7 +25,8 @@
                    const std::string& text,
                    std::string_view origin);
 
-/** @brief Applies new manifests from the store until the daemon stops. */
+/** @brief Applies new manifests, and evacuations of data centres, from the
+ * store until the daemon stops. */
 [[nodiscard]] asio::awaitable<void> FollowManifest(edge_state& state);
 
 /** @brief Applies changes of the upstreams' registrations from the store until
--- a/src/rate_limit/fwd.h
+++ b/src/rate_limit/fwd.h
@@ -9,6 +9,7 @@
 struct options;
 struct participants;
 struct permit_table;
+struct warm_up_bound;
 
 }  // namespace mimosadeck::rate_limit
 
--- a/src/rate_limit/rate_limit.h
+++ b/src/rate_limit/rate_limit.h
@@ -4,5 +4,6 @@
 #include "rate_limit/fwd.h"
 #include "rate_limit/limits.h"
 #include "rate_limit/permits.h"
+#include "rate_limit/warm_up.h"
 
 #endif  // RATE_LIMIT_RATE_LIMIT_H_
--- a/src/registry/registry.cc
+++ b/src/registry/registry.cc
@@ -17,26 +17,50 @@
   bool is_confirmed{};
 };
 
+/** @brief Updates the cold period of an upstream from a registration.
+ * @return True if other entries have to be told. */
+bool UpdateColdPeriod(registered& held,
+                      const upstream& registration,
+                      const options& settings,
+                      mono_time now) {
+  const auto cold_until = now + registration.cold_for;
+  const bool is_over = cold_until <= now && held.cold_until <= now;
+  const auto difference = cold_until > held.cold_until
+                              ? cold_until - held.cold_until
+                              : held.cold_until - cold_until;
+  if (is_over || difference <= settings.cold_tolerance) {
+    return false;
+  }
+  held.cold_until = cold_until;
+  return true;
+}
+
 void Put(upstream_set& state,
+         const options& settings,
          upstream registration,
          store_version version,
-         const standing& known) {
+         const standing& known,
+         mono_time now) {
   if (!known.drop_at && !known.held_back_until) {
     state.removed.erase(registration.id);
   }
   auto& held = state.by_id[registration.id];
   held.is_confirmed = held.is_confirmed || known.is_confirmed;
+  const bool cold_period_changed =
+      UpdateColdPeriod(held, registration, settings, now);
+  registration.cold_for = {};
   const bool is_same = held.entry && *held.entry == registration;
   const bool stays_usable =
       held.held_back_until.has_value() == known.held_back_until.has_value();
-  if (is_same && stays_usable && held.drop_at == known.drop_at) {
+  if (is_same && stays_usable && held.drop_at == known.drop_at &&
+      !cold_period_changed) {
     return;
   }
   held.version = version;
   held.drop_at = known.drop_at;
   held.held_back_until = known.held_back_until;
   state.changed_version = std::max(state.changed_version, version);
-  if (is_same && stays_usable) {
+  if (is_same && stays_usable && !cold_period_changed) {
     return;
   }
   held.entry = std::make_shared<const upstream>(std::move(registration));
@@ -193,8 +217,8 @@
     }
     state.version = std::max(state.version, each.version);
     if (each.entry) {
-      internal::Put(state, *std::move(each.entry), each.version,
-                    {std::nullopt, std::nullopt, true});
+      internal::Put(state, settings, *std::move(each.entry), each.version,
+                    {std::nullopt, std::nullopt, true}, now);
     } else {
       internal::OnRemoved(state, settings, each.id, each.version, now);
     }
@@ -229,7 +253,8 @@
       known.held_back_until = now + settings.registration_lifetime;
     }
     listed.insert(each.id);
-    internal::Put(state, *std::move(each.entry), each.version, known);
+    internal::Put(state, settings, *std::move(each.entry), each.version, known,
+                  now);
   }
   std::vector<std::string> removed;
   for (const auto& [id, held] : state.by_id) {
@@ -263,6 +288,8 @@
     out.updated.push_back({*held.entry, held.version,
                            internal::TimeUntil(held.drop_at, now),
                            internal::TimeUntil(held.held_back_until, now)});
+    out.updated.back().entry.cold_for =
+        *internal::TimeUntil(held.cold_until, now);
   }
   for (auto each = state.removals.upper_bound(out.since);
        each != state.removals.end() && out.since != store_version{}; ++each) {
@@ -306,7 +333,8 @@
     removed.erase(each.entry.id);
     if (each.version > state.version || is_complete) {
       const auto known = internal::StandingOf(state, settings, each, now);
-      internal::Put(state, std::move(each.entry), each.version, known);
+      internal::Put(state, settings, std::move(each.entry), each.version, known,
+                    now);
     }
   }
   for (const auto& id : removed) {
@@ -377,6 +405,17 @@
   return out;
 }
 
+std::vector<std::shared_ptr<const upstream>> ColdUpstreams(
+    const upstream_set& state,
+    std::string_view service,
+    mono_time now) {
+  auto out = UsableUpstreams(state, service);
+  std::erase_if(out, [&state, now](const auto& usable) {
+    return state.by_id.find(usable->id)->second.cold_until <= now;
+  });
+  return out;
+}
+
 std::string IncarnationOf(const upstream& registration) {
   return registration.id + '/' + std::to_string(registration.started_at_ms);
 }
--- a/src/registry/registry.h
+++ b/src/registry/registry.h
@@ -30,6 +30,10 @@
   bool evictable{};
   /** Start of this incarnation, in ms since 1970; 0 if not given. */
   std::uint64_t started_at_ms{};
+  /** Time for which the upstream stays cold from this registration on. The
+   * registry keeps it as registered::cold_until and holds zero here, so that
+   * its decrease is no change of content. */
+  std::chrono::milliseconds cold_for{};
 
   friend bool operator==(const upstream&, const upstream&) = default;
 };
@@ -49,6 +53,9 @@
   /** Time after which a registration that nobody renews is gone: three
    * heartbeats of an upstream. */
   std::chrono::milliseconds registration_lifetime{4000};
+  /** Difference between the ends of a cold period, as two registrations state
+   * them, that counts as none: each arrives with another delay. */
+  std::chrono::milliseconds cold_tolerance{500};
 };
 
 /** @brief A change of one registration, in the order of the store. */
@@ -75,6 +82,9 @@
   std::optional<mono_time> held_back_until;
   /** The registration was written in the current era. */
   bool is_confirmed{};
+  /** The upstream is cold up to this time: it accepts a limited rate of
+   * requests only. */
+  mono_time cold_until;
 };
 
 /** @brief An upstream whose registration was removed. */
@@ -226,6 +236,12 @@
     const upstream_set& state,
     std::string_view service);
 
+/** @brief Returns the usable upstreams of a service that are cold. */
+[[nodiscard]] std::vector<std::shared_ptr<const upstream>> ColdUpstreams(
+    const upstream_set& state,
+    std::string_view service,
+    mono_time now);
+
 /** @brief Returns the name of an incarnation: the upstream's id and start. */
 [[nodiscard]] std::string IncarnationOf(const upstream& registration);
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -89,6 +89,9 @@
   /** Unset if the upstreams are not model engines. */
   std::optional<engine_size> engine;
   std::optional<scaling_bounds> scaling;
+  /** Requests per second that an upstream bears while it is cold; unset if it
+   * bears any rate. */
+  std::optional<double> cold_requests_per_second;
 };
 
 /** @brief A client account and its keys. */
--- a/src/sizing/sizing.cc
+++ b/src/sizing/sizing.cc
@@ -11,11 +11,13 @@
 
 constexpr double kMsPerSecond = 1000;
 
-/** Counts the ready upstreams of one kind in all data centres. */
+/** Counts the ready upstreams of one kind in the data centres that serve. */
 std::uint32_t CountReady(const observation& observed, bool evictable) {
   std::uint32_t sum = 0;
   for (const auto& [data_centre, ready] : observed.ready) {
-    sum += evictable ? ready.evictable : ready.lasting;
+    if (!observed.evacuated.contains(data_centre)) {
+      sum += evictable ? ready.evictable : ready.lasting;
+    }
   }
   return sum;
 }
@@ -62,12 +64,15 @@
                         *state.need * std::exp2(-elapsed / half_life));
 }
 
-/** Returns the data centres, the cheapest first. */
+/** Returns the data centres that serve, the cheapest first. */
 std::vector<std::string> DataCentresByPrice(
     const routing::scaling_bounds& bounds,
     const observation& observed) {
   std::vector<std::pair<double, std::string>> by_price;
   for (const auto& [data_centre, ready] : observed.ready) {
+    if (observed.evacuated.contains(data_centre)) {
+      continue;
+    }
     const auto price = bounds.price_by_data_centre.find(data_centre);
     by_price.emplace_back(
         price == bounds.price_by_data_centre.end() ? 1 : price->second,
@@ -112,8 +117,8 @@
   return key.second ? found->second.evictable : found->second.lasting;
 }
 
-/** Counts the evictable upstreams that are ready or were ordered recently
- * enough to be booting still. */
+/** Counts the evictable upstreams, in data centres that serve, that are ready
+ * or were ordered recently enough to be booting still. */
 std::uint32_t CountReadyOrBooting(const planner& state,
                                   const options& settings,
                                   const routing::scaling_bounds& bounds,
@@ -121,6 +126,9 @@
                                   mono_time now) {
   std::uint32_t sum = 0;
   for (const auto& [data_centre, ready] : observed.ready) {
+    if (observed.evacuated.contains(data_centre)) {
+      continue;
+    }
     const auto found = state.groups.find({data_centre, true});
     const bool is_booting =
         found != state.groups.end() && found->second.confirmed &&
@@ -156,7 +164,7 @@
       bounds.max_upstreams);
   DistributeRoundRobin(plan, data_centres, true,
                        total - std::min(total, lasting), bounds.max_upstreams);
-  for (const auto& data_centre : data_centres) {
+  for (const auto& [data_centre, ready] : observed.ready) {
     auto& kept = plan[{data_centre, false}];
     const auto sum = kept + plan[{data_centre, true}];
     kept += bounds.min_upstreams - std::min(bounds.min_upstreams, sum);
--- a/src/sizing/sizing.h
+++ b/src/sizing/sizing.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,9 @@
 struct observation {
   /** Ready upstreams by data centre. */
   std::map<std::string, ready_count> ready;
+  /** Data centres to which no work is sent. Their upstreams cover no need, and
+   * only the minimum is kept there. */
+  std::set<std::string> evacuated;
   /** Arriving work in prompt tokens per second, with answer tokens converted to
    * prompt tokens. */
   double tokens_per_second{};
--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -60,6 +60,11 @@
   return std::holds_alternative<T>(value);
 }
 
+bool HasManifest(const platform::operator_poll_result& result) {
+  const auto* update = std::get_if<platform::operator_update>(&result);
+  return update && update->manifest;
+}
+
 infra::commit MakeCommit(const std::string& key,
                          std::uint64_t version,
                          const std::string& value) {
@@ -159,13 +164,15 @@
 
 BOOST_AUTO_TEST_CASE(manifest_is_read_first_and_then_watched) {
   store.Put("op", "config", "one");
-  auto result = Await(client.NextManifest(kWait));
-  BOOST_REQUIRE(Is<platform::manifest_update>(result));
+  auto result = Await(client.NextOperatorUpdate(kWait));
+  BOOST_REQUIRE(HasManifest(result));
   store.Put("op", "config", "two");
-  result = Await(client.NextManifest(kWait));
-  BOOST_REQUIRE(Is<platform::manifest_update>(result));
-  BOOST_TEST(std::get<platform::manifest_update>(result).text == "two");
-  BOOST_TEST(Is<platform::unchanged>(Await(client.NextManifest(kWait))));
+  result = Await(client.NextOperatorUpdate(kWait));
+  BOOST_REQUIRE(HasManifest(result));
+  BOOST_TEST(*std::get<platform::operator_update>(result).manifest == "two");
+  result = Await(client.NextOperatorUpdate(kWait));
+  BOOST_REQUIRE(Is<platform::operator_update>(result));
+  BOOST_TEST(!HasManifest(result));
 }
 
 // Guards against taking discarded changes for an answer without changes, after
@@ -186,13 +193,13 @@
 
 BOOST_AUTO_TEST_CASE(discarded_history_leads_to_the_manifest_in_the_same_call) {
   store.Put("op", "config", "one");
-  static_cast<void>(Await(client.NextManifest(kWait)));
+  static_cast<void>(Await(client.NextOperatorUpdate(kWait)));
   store.Put("op", "config", "two");
   store.Compact();
   store.Put("op", "config", "three");
-  const auto result = Await(client.NextManifest(kWait));
-  BOOST_REQUIRE(Is<platform::manifest_update>(result));
-  BOOST_TEST(std::get<platform::manifest_update>(result).text == "three");
+  const auto result = Await(client.NextOperatorUpdate(kWait));
+  BOOST_REQUIRE(HasManifest(result));
+  BOOST_TEST(*std::get<platform::operator_update>(result).manifest == "three");
 }
 
 // Guards against changes of a store that went back which are taken for those
@@ -275,10 +282,10 @@
   store.Put("op", "config", "one");
   store.Put("servers", "a", kEntry);
   for (int i = 0; i < 2; ++i) {
-    client.ReadManifestAgain();
+    client.ReadOperatorRowsAgain();
     client.ListUpstreamsAgain();
-    const auto manifest = Await(client.NextManifest(kWait));
-    BOOST_REQUIRE(Is<platform::manifest_update>(manifest));
+    const auto manifest = Await(client.NextOperatorUpdate(kWait));
+    BOOST_REQUIRE(HasManifest(manifest));
     const auto listed = Await(client.NextUpstreams(kWait));
     BOOST_REQUIRE(Is<platform::upstream_listing>(listed));
     BOOST_TEST(std::get<platform::upstream_listing>(listed).entries.size() ==
@@ -323,11 +330,12 @@
 
 BOOST_AUTO_TEST_CASE(each_fault_of_the_store_is_reported_as_failure) {
   store.Put("op", "config", "one");
-  static_cast<void>(Await(client.NextManifest(kWait)));
+  static_cast<void>(Await(client.NextOperatorUpdate(kWait)));
   for (const auto fault : {store_fault::busy, store_fault::too_many,
                            store_fault::reset, store_fault::garbage}) {
     store.fault = fault;
-    BOOST_TEST(Is<platform::store_failure>(Await(client.NextManifest(kWait))));
+    BOOST_TEST(
+        Is<platform::store_failure>(Await(client.NextOperatorUpdate(kWait))));
   }
 }
 
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -74,6 +74,33 @@
   BOOST_TEST((manifest.limits.idle_timeout == 15s));
 }
 
+// Guards against limits on cold upstreams of services that state none.
+BOOST_AUTO_TEST_CASE(rate_of_cold_upstreams_is_read_where_it_is_stated) {
+  const auto rate = [](const std::string& member) {
+    const auto read = platform::DecodeManifest(
+        R"({"version":1,"routes":[],"services":[{"name":"pool")" + member +
+        "}]}");
+    return std::get<routing::manifest>(read)
+        .services.at(0)
+        .cold_requests_per_second;
+  };
+  BOOST_TEST(rate(R"(,"cold_per_s":14.0)").value() == 14);
+  BOOST_TEST(!rate(""));
+  BOOST_TEST(!rate(R"(,"cold_per_s":0.0)"));
+  BOOST_TEST(!rate(R"(,"cold_per_s":"14")"));
+}
+
+// Guards against a manifest that is refused because it names data centres or
+// regions in which routes are at home: this release knows of none and sends
+// requests to any upstream of the service.
+BOOST_AUTO_TEST_CASE(homes_of_routes_and_accounts_are_ignored) {
+  const auto read = platform::DecodeManifest(
+      R"({"version":1,"routes":[{"host":"h","prefix":"/c/","kind":"safe",)"
+      R"("homes":["a"]}],"tenants":[{"name":"t","homes":["a"]}]})");
+  BOOST_REQUIRE(IsOk(read));
+  BOOST_TEST(std::get<routing::manifest>(read).routes.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(manifest_without_accounts_needs_no_keys) {
   const auto read = platform::DecodeManifest(R"({"version":1,"routes":[]})");
   BOOST_REQUIRE(IsOk(read));
@@ -92,6 +119,59 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** @brief Returns a page with one row of the operators. */
+platform::row_page OperatorRow(const std::string& key,
+                               const std::string& value,
+                               bool removed = false) {
+  platform::row_page out;
+  out.version = 12;
+  out.era = 2;
+  out.rows.push_back({key, value, 11, removed});
+  return out;
+}
+
+BOOST_AUTO_TEST_SUITE(operator_rows)
+
+BOOST_AUTO_TEST_CASE(evacuation_is_read_with_its_place_in_the_history) {
+  const auto began =
+      platform::DecodeOperatorRows(OperatorRow("evacuate/a", "{}"));
+  BOOST_REQUIRE(began.evacuations.size() == 1);
+  BOOST_TEST(began.evacuations[0].data_centre == "a");
+  BOOST_TEST(began.evacuations[0].active);
+  BOOST_TEST((began.evacuations[0].version ==
+              *mimosadeck::registry::MakeStoreVersion(2, 11)));
+  const auto ended =
+      platform::DecodeOperatorRows(OperatorRow("evacuate/a", "", true));
+  BOOST_TEST(!ended.evacuations.at(0).active);
+}
+
+// Guards against evacuations that are obeyed though nobody can have written
+// them so.
+BOOST_AUTO_TEST_CASE(unreadable_evacuations_are_named_and_not_obeyed) {
+  for (const auto& [key, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"evacuate/", "{}"},
+           {"evacuate/a", "not json"},
+           {"evacuate/a", "[]"},
+           {"evacuate/\xff", "{}"}}) {
+    const auto read = platform::DecodeOperatorRows(OperatorRow(key, value));
+    BOOST_TEST(read.evacuations.empty(), key << ' ' << value);
+    BOOST_TEST(read.unreadable.size() == 1, key << ' ' << value);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(manifest_and_other_rows_are_no_evacuations) {
+  const auto manifest =
+      platform::DecodeOperatorRows(OperatorRow("config", "one"));
+  BOOST_TEST(*manifest.manifest == "one");
+  const auto other = platform::DecodeOperatorRows(OperatorRow("other", "{}"));
+  BOOST_TEST(!other.manifest);
+  BOOST_TEST(other.evacuations.empty());
+  BOOST_TEST(other.unreadable.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(upstream_entries)
 
 BOOST_AUTO_TEST_CASE(valid_entry_is_decoded) {
@@ -102,6 +182,20 @@
   BOOST_TEST(read->started_at_ms == 17);
   BOOST_TEST(!read->draining);
   BOOST_TEST(!read->evictable);
+  BOOST_TEST((read->cold_for == 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(cold_period_is_read_and_limited) {
+  const auto cold_for = [](const std::string& value) {
+    std::string entry = kEntry;
+    const std::string zero = R"("cold_left_ms":0)";
+    entry.replace(entry.find(zero), zero.size(), R"("cold_left_ms":)" + value);
+    return platform::DecodeUpstream("i-1", entry)->cold_for;
+  };
+  BOOST_TEST((cold_for("2500") == 2500ms));
+  BOOST_TEST((cold_for("-3") == 0ms));
+  BOOST_TEST((cold_for(R"("soon")") == 0ms));
+  BOOST_TEST((cold_for("1e300") == 600s));
 }
 
 BOOST_AUTO_TEST_CASE(malformed_entries_are_skipped) {
@@ -331,13 +425,16 @@
     "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2",
               "control":"10.0.0.1:3","directory":"10.0.0.1:4"},
     "port_range":[7340,7355],"seeds":["10.0.0.2:3"],
-    "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"lease_ms":3000},
+    "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"lease_ms":3000,
+              "cold_overrun":1.25,"cold_slack":3},
     "provider":{"address":"10.0.0.9:80"},
     "cloud_api":{"address":"10.0.0.8:80","duties":["usage"]}})");
   const auto* machine = std::get_if<platform::machine_settings>(&read);
   BOOST_REQUIRE(machine);
   BOOST_TEST(machine->peer_port == 7340);
   BOOST_TEST((machine->bounds.stop_grace == 8s));
+  BOOST_TEST(machine->bounds.cold_rate_factor == 1.25);
+  BOOST_TEST(machine->bounds.cold_extra_requests == 3);
   BOOST_TEST(machine->duties.size() == 1);
 }
 
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -89,7 +89,7 @@
                    {"version", "v1"},
                    {"slots", slots},
                    {"state", state},
-                   {"cold_left_ms", 0},
+                   {"cold_left_ms", cold_for.count()},
                    {"seq", 1},
                    {"born", started_at_ms_}});
 }
--- a/test/platform/upstream_stand_in.h
+++ b/test/platform/upstream_stand_in.h
@@ -132,6 +132,8 @@
   /** Address to register instead of the real one, if not empty. */
   std::string advertised;
   std::string data_centre{"a"};
+  /** Time for which the registration says that the upstream stays cold. */
+  std::chrono::milliseconds cold_for{0};
 
  private:
   boost::asio::awaitable<void> Answer(net::http_request request,
--- a/test/rate_limit/shared_limit_test.cc
+++ b/test/rate_limit/shared_limit_test.cc
@@ -2,37 +2,20 @@
 #include <boost/test/included/unit_test.hpp>
 
 #include <algorithm>
-#include <chrono>
-#include <cstdint>
 #include <functional>
 #include <optional>
-#include <random>
-#include <string>
 #include <vector>
 
-#include "base/digest.h"
-#include "rate_limit/rate_limit.h"
+#include "rate_limit/fleet_model.h"
 
 namespace {
 
-using namespace std::chrono_literals;
-namespace rate_limit = mimosadeck::rate_limit;
-using mimosadeck::mono_time;
-using mimosadeck::wall_time;
-using milliseconds = std::chrono::milliseconds;
+using namespace mimosadeck::rate_limit_test;
 
-constexpr auto kStep = 40ms;
-constexpr auto kDuration = 50s;
 /** Window in which the requests at the upstream are counted. */
 constexpr auto kWindow = 4s;
-/** Requests per second that each entry could send to the upstream. */
-constexpr double kDemandPerEntry = 12;
 /** Fraction of the limit to be in use. */
 constexpr double kWantedUse = 0.8;
-/** Interval of digests up to this number of entries; beyond, it grows with
- * it. */
-constexpr std::size_t kScalingSize = 64;
-const std::string kUpstream = "u1/5";
 
 /** @brief Returns the requests allowed in kWindow: one and a half times the
  * limit, and five. */
@@ -40,160 +23,6 @@
   return 1.5 * std::chrono::duration<double>(kWindow).count() * limit + 5;
 }
 
-/** One entry, with its own clock and its own view of the others. */
-struct entry {
-  std::string name;
-  bool running{true};
-  bool frozen{};
-  std::optional<milliseconds> started_at;
-  milliseconds learns_limit_at{};
-  milliseconds clock_offset{};
-  /** When it last heard each other entry. */
-  std::vector<std::optional<milliseconds>> heard_at;
-  rate_limit::limit_table limits;
-  rate_limit::participants fleet;
-  rate_limit::permit_table permits;
-};
-
-/** A fleet before one upstream with a limit, in virtual time. */
-class fleet {
- public:
-  /** Changes the fleet at a time. */
-  using script = std::function<void(fleet&, milliseconds)>;
-
-  fleet(std::size_t size, double limit, std::uint64_t seed)
-      : limit_(limit), random_(seed), entries_(size) {
-    interval_ = 150ms * std::max(size, kScalingSize) / kScalingSize;
-    for (std::size_t i = 0; i < size; ++i) {
-      entries_[i].name = "entry-" + std::to_string(i);
-      entries_[i].clock_offset = milliseconds(Pick(300)) - 150ms;
-      Start(i, -60s);
-      // The first seconds after the limit is stated are counted, too.
-      entries_[i].learns_limit_at = milliseconds(Pick(1000));
-    }
-  }
-
-  [[nodiscard]] std::size_t Size() const { return entries_.size(); }
-
-  std::size_t Pick(std::size_t below) { return random_() % below; }
-
-  bool Chance(double probability) {
-    return std::uniform_real_distribution<>(0, 1)(random_) < probability;
-  }
-
-  /** Starts or restarts an entry with no knowledge of the others. */
-  void Start(std::size_t index, milliseconds now) {
-    auto& started = entries_[index];
-    started.running = true;
-    started.started_at = now;
-    started.learns_limit_at = now + milliseconds(Pick(1000));
-    started.heard_at.assign(entries_.size(), std::nullopt);
-    started.limits = {};
-    started.permits = {};
-    started.fleet = {};
-    started.fleet.self = started.name;
-    started.fleet.started_at = At(now);
-  }
-
-  void Kill(std::size_t index) { entries_[index].running = false; }
-  void Freeze(std::size_t index, bool frozen) {
-    entries_[index].frozen = frozen;
-  }
-
-  /** Decides whether digests of one entry reach another. */
-  std::function<bool(std::size_t, std::size_t)> reaches;
-
-  void Run(const script& change) {
-    for (milliseconds now = -5s; now < kDuration; now += kStep) {
-      if (now >= 0ms) {
-        change(*this, now);
-      }
-      if ((now + 5s) % interval_ < kStep) {
-        ExchangeDigests(now);
-      }
-      for (auto& sender : entries_) {
-        Step(sender, now);
-      }
-    }
-  }
-
-  /** @brief Returns the most requests in kWindow as a fraction of those that
-   * are allowed. */
-  [[nodiscard]] double LargestShare() const {
-    std::size_t most = 0;
-    auto first = sent_at_.begin();
-    for (auto last = sent_at_.begin(); last != sent_at_.end(); ++last) {
-      while (*last - *first >= kWindow) {
-        ++first;
-      }
-      most = std::max<std::size_t>(most, last - first + 1);
-    }
-    return static_cast<double>(most) / Allowed(limit_);
-  }
-
-  /** @brief Returns the used fraction of the limit from a time on. */
-  [[nodiscard]] double Use(milliseconds since) const {
-    const auto used = std::count_if(sent_at_.begin(), sent_at_.end(),
-                                    [since](auto at) { return at >= since; });
-    const std::chrono::duration<double> time = kDuration - since;
-    return static_cast<double>(used) / (limit_ * time.count());
-  }
-
- private:
-  static mono_time At(milliseconds now) { return mono_time(1h + now); }
-
-  void ExchangeDigests(milliseconds now) {
-    std::vector<rate_limit::heard_entry> heard;
-    for (std::size_t i = 0; i < entries_.size(); ++i) {
-      auto& receiver = entries_[i];
-      if (!receiver.running || receiver.frozen) {
-        continue;
-      }
-      heard.clear();
-      for (std::size_t j = 0; j < entries_.size(); ++j) {
-        const auto& sender = entries_[j];
-        if (i != j && sender.running && !sender.frozen &&
-            (!reaches || reaches(j, i))) {
-          receiver.heard_at[j] = now;
-        }
-        if (receiver.heard_at[j]) {
-          heard.push_back({sender.name, At(*receiver.heard_at[j]), false,
-                           sender.fleet.others.size()});
-        }
-      }
-      rate_limit::UpdateParticipants(receiver.fleet, settings_, heard, At(now));
-    }
-  }
-
-  void Step(entry& sender, milliseconds now) {
-    if (!sender.running || sender.frozen || now < sender.learns_limit_at) {
-      return;
-    }
-    if (sender.limits.by_incarnation.empty()) {
-      static_cast<void>(
-          rate_limit::OnStated(sender.limits, kUpstream, limit_, At(now)));
-    }
-    const wall_time fleet_time(1782618168s + now + sender.clock_offset);
-    rate_limit::IssuePermits(sender.permits, settings_, sender.limits,
-                             sender.fleet, fleet_time, At(now));
-    double demand =
-        kDemandPerEntry * std::chrono::duration<double>(kStep).count();
-    while (Chance(demand) && rate_limit::HasPermit(sender.permits, kUpstream)) {
-      BOOST_REQUIRE(rate_limit::TakePermit(sender.permits, kUpstream));
-      if (now >= 0ms) {
-        sent_at_.push_back(now);
-      }
-    }
-  }
-
-  double limit_;
-  std::mt19937_64 random_;
-  rate_limit::options settings_;
-  milliseconds interval_{};
-  std::vector<entry> entries_;
-  std::vector<milliseconds> sent_at_;
-};
-
 /** Size of a fleet, limit and number of seeds. */
 struct run {
   std::size_t entries{};
@@ -216,7 +45,7 @@
       double largest = 0;
       double use = 0;
       for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        fleet tested(entries, limit, seed);
+        fleet tested(entries, {limit, kWindow, Allowed(limit)}, seed);
         tested.Run(make_script(tested));
         largest = std::max(largest, tested.LargestShare());
         use += tested.Use(use_since.value_or(0ms)) / seeds;
@@ -232,11 +61,6 @@
   }
 };
 
-/** @brief Returns true once, at the first step from a time on. */
-bool IsAt(milliseconds now, milliseconds time) {
-  return now >= time && now < time + kStep;
-}
-
 BOOST_FIXTURE_TEST_SUITE(limits, all_sizes)
 
 // Guards against entries that each send the whole limit, or whose shares are
--- a/test/registry/registry_test.cc
+++ b/test/registry/registry_test.cc
@@ -78,6 +78,52 @@
   BOOST_TEST(state.generation == before);
 }
 
+// Guards against a fleet in which each heartbeat of a cold upstream makes all
+// entries copy the registry.
+BOOST_AUTO_TEST_CASE(
+    cold_upstream_changes_the_registry_only_when_it_turns_cold) {
+  auto cold = MakeUpstream("a");
+  cold.cold_for = 3000ms;
+  Write(cold, 11);
+  BOOST_TEST(registry::ColdUpstreams(state, "pool", now).size() == 1);
+  const auto before = state.changed_version;
+  now += 1200ms;
+  cold.cold_for = 1850ms;
+  Write(cold, 12);
+  BOOST_TEST((state.changed_version == before));
+  now += 1900ms;
+  BOOST_TEST(registry::ColdUpstreams(state, "pool", now).empty());
+  Write(MakeUpstream("a"), 13);
+  BOOST_TEST((state.changed_version == before));
+}
+
+// Guards against full load on an upstream that turns cold while it runs.
+BOOST_AUTO_TEST_CASE(warm_upstream_that_turns_cold_again_is_cold) {
+  now += 1h;
+  auto cold = MakeUpstream("a");
+  cold.cold_for = 2000ms;
+  Write(cold, 11);
+  const auto found = registry::ColdUpstreams(state, "pool", now);
+  BOOST_REQUIRE(found.size() == 1);
+  BOOST_TEST(found.front()->id == "a");
+  BOOST_TEST(found.front()->cold_for.count() == 0);
+}
+
+// Guards against entries that copy the registry and take a cold upstream for a
+// warm one.
+BOOST_AUTO_TEST_CASE(copied_registry_states_the_rest_of_the_cold_period) {
+  auto cold = MakeUpstream("a");
+  cold.cold_for = 3000ms;
+  Write(cold, 11);
+  now += 1s;
+  registry::upstream_set copy;
+  BOOST_REQUIRE(registry::Adopt(
+      copy, settings, registry::ChangesSince(state, store_version{0}, now),
+      now));
+  BOOST_TEST(registry::ColdUpstreams(copy, "pool", now + 1900ms).size() == 1);
+  BOOST_TEST(registry::ColdUpstreams(copy, "pool", now + 2s).empty());
+}
+
 BOOST_AUTO_TEST_CASE(restart_under_the_same_id_is_another_incarnation) {
   auto again = MakeUpstream("a");
   again.started_at_ms = 2;
--- a/test/sizing/sizing_test.cc
+++ b/test/sizing/sizing_test.cc
@@ -210,6 +210,59 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(evacuations, three_data_centres)
+
+// Guards against demand that reaches the other data centres before what they
+// need was ordered, and against counting upstreams that may get no work.
+BOOST_AUTO_TEST_CASE(evacuated_data_centre_is_replaced_at_once) {
+  observed.tokens_per_second = 560000;
+  Advance(40s);
+  const auto serving = [this] {
+    std::uint32_t sum = 0;
+    for (const auto* name : {"b", "c"}) {
+      sum += observed.ready[name].lasting + observed.ready[name].evictable;
+    }
+    return sum;
+  };
+  const auto needed = *state.need;
+  BOOST_REQUIRE(serving() < needed);
+  observed.evacuated = {"a"};
+  Advance(8s);
+  BOOST_TEST(serving() >= needed);
+}
+
+// Guards against releasing upstreams in an evacuation that ends within seconds.
+BOOST_AUTO_TEST_CASE(short_evacuation_keeps_the_upstreams) {
+  observed.tokens_per_second = 560000;
+  Advance(40s);
+  const auto before = observed.ready["a"];
+  observed.evacuated = {"a"};
+  Advance(8s);
+  observed.evacuated.clear();
+  BOOST_TEST(observed.ready["a"].lasting == before.lasting);
+  BOOST_TEST(observed.ready["a"].evictable == before.evictable);
+}
+
+// Guards against paying for upstreams that may get no work.
+BOOST_AUTO_TEST_CASE(long_evacuation_keeps_only_the_minimum) {
+  observed.tokens_per_second = 560000;
+  Advance(40s);
+  observed.evacuated = {"a"};
+  Advance(40s);
+  const auto& ready = observed.ready["a"];
+  BOOST_TEST(ready.lasting + ready.evictable == bounds.min_upstreams);
+}
+
+BOOST_AUTO_TEST_CASE(evacuation_of_all_data_centres_keeps_the_minimum) {
+  observed.tokens_per_second = 560000;
+  Advance(20s);
+  observed.evacuated = {"a", "b", "c"};
+  Advance(40s);
+  BOOST_TEST(Ready() == 3 * bounds.min_upstreams);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against one odd registration that makes the fleet look many times its
 // size, so that too few upstreams are ordered.
 BOOST_AUTO_TEST_CASE(slots_of_one_odd_upstream_do_not_count) {
