--- a/test/system/deployment.cc
+++ b/test/system/deployment.cc
@@ -144,6 +144,10 @@
   kill(impl_->pid, number);
 }
 
+int process::Id() const {
+  return impl_->pid;
+}
+
 std::uint64_t process::PeakMemory() const {
   constexpr std::uint64_t kBytesPerKb = 1024;
   std::ifstream status("/proc/" + std::to_string(impl_->pid) + "/status");
--- a/test/system/deployment.h
+++ b/test/system/deployment.h
@@ -46,6 +46,9 @@
   /** @brief Sends a signal. */
   void Signal(int number) const;
 
+  /** @brief Returns the id of the process. */
+  [[nodiscard]] int Id() const;
+
   /** @brief Returns the greatest resident memory so far, in bytes. */
   [[nodiscard]] std::uint64_t PeakMemory() const;
 
--- a/test/system/one_entry.h
+++ b/test/system/one_entry.h
@@ -90,6 +90,8 @@
   std::chrono::seconds billing_window{5};
   /** Memory of the entry's VM, in MB; 0 if it is not stated. */
   int memory_mb{};
+  /** Descriptors of the entry's process; 0 if their number is not stated. */
+  int max_descriptors{};
 };
 
 /** @brief Fixture that runs one entry process with a store and two upstreams.
@@ -104,6 +106,7 @@
   std::chrono::seconds stop_grace;
   std::chrono::seconds billing_window;
   int memory_mb;
+  int max_descriptors;
   std::filesystem::path settings;
   std::unique_ptr<process> entry;
   std::string callers;
@@ -114,7 +117,8 @@
   explicit one_entry(entry_options options = {})
       : stop_grace(options.stop_grace),
         billing_window(options.billing_window),
-        memory_mb(options.memory_mb) {
+        memory_mb(options.memory_mb),
+        max_descriptors(options.max_descriptors) {
     store.Put("op", "config", options.manifest);
     store.Put("servers", "u1", first.Entry("ready"));
     store.Put("servers", "u2", second.Entry("ready"));
@@ -148,7 +152,7 @@
         {"bounds",
          {{"grace_s", stop_grace.count()},
           {"report_window_s", billing_window.count()}}},
-        {"limits", {{"memory_mb", memory_mb}}},
+        {"limits", {{"memory_mb", memory_mb}, {"max_fds", max_descriptors}}},
         {"provider", {{"address", store.Address()}}},
         {"cloud_api", {{"address", store.Address()}, {"duties", {"usage"}}}}};
     std::ofstream(path) << json::serialize(content);
