Bound what callers make a process hold, in bytes and in connections

Cause: the input buffer of a connection had no limit, so that a chunk extension or a trailer without end grew it; each body had a limit, their sum had none; each answered request let 4 KB more be read ahead; connections had no limit, and idle ones to upstreams that were gone stayed open.

Change: `net::receive_memory` decides which request is cut: of the owner that holds most, the one with most bytes and least progress, never a complete one; 503 `receive_memory_full`, not run. The server reads and parses bodies itself, since the library's reading function does not return while a chunk is incomplete. Input buffers hold the header limit and 16 KB, read-ahead 16 KB; listeners close idle or stopped connections beyond their share of the sockets. The connection cache closes what was idle for 5 s and has a bound in all. Freed blocks of 128 KB go back to the system.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -43,9 +43,31 @@
       {result_code::unknown_route, executed::no, {}, ""});
 }
 
+/** Retry-After of a request that was cut for the memory of others: those that
+ * make no progress are cut within this time, too. */
+constexpr std::chrono::milliseconds kMemoryRetryAfter{500};
+/** Shares of the sockets: connections of callers, of which each may have one to
+ * an upstream, and those of each internal listener. */
+constexpr double kCallerSocketFraction = 0.36;
+constexpr double kInternalSocketFraction = 0.04;
+
+std::size_t SocketShare(const platform::machine_settings& machine,
+                        double fraction) {
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(fraction *
+                                  static_cast<double>(MaxSockets(machine))));
+}
+
 net::http_response ConnectionRefusal(int status, const std::string& message) {
   constexpr int kTooLarge = 413;
   constexpr int kTimeout = 408;
+  constexpr int kUnavailable = 503;
+  if (status == kUnavailable) {
+    auto out = daemon::RefusalResponse({result_code::receive_memory_full,
+                                        executed::no, kMemoryRetryAfter, ""});
+    out.fields["retry-after"] = platform::EncodeRetryAfter(kMemoryRetryAfter);
+    return out;
+  }
   const auto code = status == kTooLarge  ? result_code::body_too_large
                     : status == kTimeout ? result_code::caller_too_slow
                                          : result_code::malformed_http;
@@ -95,9 +117,11 @@
 
   void Listen() {
     const std::vector<asio::io_context*> contexts{&io_};
-    net::server_options options;
-    options.refuse = ConnectionRefusal;
+    auto options = ServerOptions("callers", kCallerSocketFraction);
     options.current_limits = [this] { return CurrentLimits(); };
+    options.owner_of = [this](const net::http_fields& fields) {
+      return AccountOf(fields);
+    };
     callers_ = std::make_unique<net::http_server>(
         contexts, state_.machine.caller_address, options,
         [this](auto request, auto& exchange) {
@@ -107,8 +131,8 @@
                               net::exchange& exchange) {
       return ServeInternal(std::move(request), exchange);
     };
-    net::server_options internal_options;
-    internal_options.refuse = ConnectionRefusal;
+    const auto internal_options =
+        ServerOptions("internal", kInternalSocketFraction);
     auto& machine = state_.machine;
     machine.caller_address = callers_->Address();
     auto metrics_address = machine.ip + ':' + metrics_port_;
@@ -126,6 +150,35 @@
                     {"metrics", metrics_address}});
   }
 
+  /** @param listener Name of the listener, for metrics and the log. */
+  net::server_options ServerOptions(const std::string& listener,
+                                    double socket_fraction) {
+    net::server_options out;
+    out.refuse = ConnectionRefusal;
+    out.receive_budget = state_.receive_budget;
+    out.max_connections = SocketShare(state_.machine, socket_fraction);
+    out.on_cut = [this, listener](std::string_view reason,
+                                  const std::string& address) {
+      state_.metrics.Count("mimosadeck_callers_cut_off_total", "reason",
+                           listener + '_' + std::string(reason));
+      telemetry::Log(
+          telemetry::level::warning, "caller_cut_off",
+          {{"listener", listener}, {"reason", reason}, {"address", address}});
+    };
+    return out;
+  }
+
+  /** @brief Returns the name of the client account that sends a request; empty
+   * if its key is not known. */
+  [[nodiscard]] std::string AccountOf(const net::http_fields& fields) const {
+    const auto decoded = platform::DecodeCallerRequest(fields);
+    const auto* request = std::get_if<platform::caller_request>(&decoded);
+    const auto* account = request && state_.table
+                              ? state_.table->AccountOf(request->key)
+                              : nullptr;
+    return account ? "account " + account->name : std::string{};
+  }
+
   [[nodiscard]] net::connection_limits CurrentLimits() const {
     net::connection_limits out;
     out.body_timeout = kBodyTimeout;
--- a/apps/mimosadeckd/edge/evacuations.cc
+++ b/apps/mimosadeckd/edge/evacuations.cc
@@ -19,14 +19,16 @@
                const std::vector<std::string>& data_centres,
                std::string_view origin) {
   for (const auto& data_centre : data_centres) {
-    const bool is_evacuated =
-        evacuation::IsEvacuated(state.evacuations, data_centre);
-    telemetry::Log(
-        telemetry::level::info,
-        is_evacuated ? "evacuation_began" : "evacuation_ended",
-        {{"data_centre", data_centre},
-         {"origin", origin},
-         {"has_upstreams", HasUpstreams(state, data_centre) ? "yes" : "no"}});
+    if (evacuation::IsEvacuated(state.evacuations, data_centre)) {
+      telemetry::Log(
+          telemetry::level::info, "evacuation_began",
+          {{"data_centre", data_centre},
+           {"origin", origin},
+           {"has_upstreams", HasUpstreams(state, data_centre) ? "yes" : "no"}});
+    } else {
+      telemetry::Log(telemetry::level::info, "evacuation_ended",
+                     {{"data_centre", data_centre}, {"origin", origin}});
+    }
   }
   if (!data_centres.empty()) {
     RefreshPools(state);
--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -34,6 +34,9 @@
 constexpr std::size_t kNewFollowerGap = 3;
 /** Upstreams sampled per request in a large fleet, where loads are stale. */
 constexpr std::size_t kLargeFleetSampleSize = 8;
+/** Idle connections are not reused after this time, which attempts shorten for
+ * requests that must not run twice. */
+constexpr std::chrono::milliseconds kMaxIdleTime{5000};
 /** Interval, in digests, at which silent peers are probed until forgotten. */
 constexpr std::uint64_t kDigestsPerProbe = 7;
 constexpr std::chrono::milliseconds kPeerRetention{120000};
@@ -163,10 +166,10 @@
   for (const auto& limit : received.upstream_limits()) {
     MergeUpstreamLimit(state_, limit, received.relay());
   }
+  MergeEvacuations(state_, received.evacuations(), received.relay());
   for (const auto& member : received.members()) {
     AddPeer(member.peer_address(), received.relay());
   }
-  MergeEvacuations(state_, received.evacuations(), received.relay());
   fleet::OnSummary(state_.members, std::move(received), state_.machine.name,
                    LocalTime(state_), SuspendAwareNow());
 }
@@ -200,10 +203,10 @@
   for (const auto& limit : received.upstream_limits()) {
     MergeUpstreamLimit(state_, limit, name);
   }
+  MergeEvacuations(state_, received.evacuations(), name);
   const bool is_new = !state_.members.by_name.contains(name);
   const bool needs_summary = fleet::SendsSummary(
       state_.members, state_.fleet_options, SelfInfo(state_), received, now);
-  MergeEvacuations(state_, received.evacuations(), name);
   const bool is_accepted = fleet::OnDigest(state_.members, std::move(received),
                                            sender, LocalTime(state_), now);
   if (is_accepted && needs_summary) {
@@ -289,10 +292,10 @@
     for (auto& limit : SelectUpstreamLimits(state_, full_rounds_)) {
       *plain.mutable_digest()->add_upstream_limits() = std::move(limit);
     }
+    AddEvacuations(state_, *plain.mutable_digest()->mutable_evacuations());
     for (auto& peer : SelectKnownPeers()) {
       plain.mutable_digest()->add_known_peers(std::move(peer));
     }
-    AddEvacuations(state_, *plain.mutable_digest()->mutable_evacuations());
   }
   auto with_counts = plain;
   internal::FillCounts(state_, *with_counts.mutable_digest());
@@ -395,10 +398,10 @@
     kept.clear_leaving_upstreams();
     kept.clear_held_back_upstreams();
     kept.clear_upstream_limits();
+    kept.clear_evacuations();
     kept.clear_known_peers();
     kept.clear_wants_summary();
     relayed.set_peer_address(address);
-    kept.clear_evacuations();
     relayed.set_age_ms(static_cast<std::uint32_t>(age.count()));
   };
   add(own, own_address_, std::chrono::milliseconds(0));
@@ -430,10 +433,10 @@
   for (auto& limit : SelectUpstreamLimits(state_, full_rounds_)) {
     *head.add_upstream_limits() = std::move(limit);
   }
+  AddEvacuations(state_, *head.mutable_evacuations());
   for (const auto& member : unchanged) {
     auto& encoded = *head.add_heard();
     encoded.set_identity(fleet::IdentityOf(member.record()));
-  AddEvacuations(state_, *head.mutable_evacuations());
     encoded.set_age_ms(member.age_ms());
   }
   for (std::size_t i = 0; i < records.size(); ++i) {
@@ -475,17 +478,18 @@
     }
     RefreshRemoteLoad(state_);
     RefreshParticipants(state_);
+    RefreshWarmUp(state_);
+    EndLostEvacuations(state_);
     state_.placement_options.sample_size =
         fleet::IsFullMesh(state_.members, state_.fleet_options)
             ? 0
-    RefreshWarmUp(state_);
-    EndLostEvacuations(state_);
             : internal::kLargeFleetSampleSize;
     const bool is_full = now - full_at >= state_.fleet_options.record_interval;
     if (is_full) {
       full_at = now;
       ++full_rounds_;
       ForgetGoneUpstreams(state_);
+      state_.upstream_connections.CloseIdle(internal::kMaxIdleTime);
     }
     SendDigests(is_full);
     SendSummaries(is_full);
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -80,6 +80,13 @@
   metrics.Set(
       "mimosadeck_condemned_prompt_parts", "entry", entry,
       static_cast<double>(quarantine::CondemnedPartCount(state.quarantine)));
+  metrics.Set("mimosadeck_receive_bytes", "entry", entry,
+              static_cast<double>(state.receive_budget->UsedBytes()));
+  metrics.Set("mimosadeck_upstream_connections_idle", "entry", entry,
+              static_cast<double>(state.upstream_connections.IdleCount()));
+  metrics.Set(
+      "mimosadeck_data_centres_evacuated", "entry", entry,
+      static_cast<double>(evacuation::Evacuated(state.evacuations).size()));
   for (const auto& [service, pool] : state.pools) {
     internal::ObservePool(metrics, state.limits, state.warm_up_limits, service,
                           pool, now);
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -18,16 +18,27 @@
 constexpr std::size_t kMaxIdleConnections = 16;
 /** Upstream crashes attributed to a request that condemn it. */
 constexpr std::uint32_t kCrashesToCondemn = 3;
-/** Responses not yet passed on may use the VM's memory divided by this. */
-constexpr std::uint64_t kResponseMemoryDivisor = 4;
-/** Limit for these responses if the size of the VM's memory is unknown. */
-constexpr std::uint64_t kDefaultResponseMemoryBytes = std::uint64_t{64} << 20U;
+/** Requests in receipt, and responses not yet passed on, may each use the VM's
+ * memory divided by this. */
+constexpr std::uint64_t kTrafficMemoryDivisor = 4;
+/** Limit for each of them if the size of the VM's memory is unknown. */
+constexpr std::uint64_t kDefaultTrafficMemoryBytes = std::uint64_t{64} << 20U;
 constexpr unsigned kMbShift = 20;
+/** Sockets of a process whose number of descriptors is unknown. */
+constexpr std::size_t kDefaultMaxSockets = 2800;
+/** Share of the sockets for idle connections to upstreams and other entries. */
+constexpr std::size_t kIdleSocketDivisor = 12;
 
-std::uint64_t ResponseMemoryLimit(const platform::machine_settings& machine) {
+std::uint64_t TrafficMemoryLimit(const platform::machine_settings& machine) {
   return machine.memory_mb == 0
-             ? kDefaultResponseMemoryBytes
-             : (machine.memory_mb << kMbShift) / kResponseMemoryDivisor;
+             ? kDefaultTrafficMemoryBytes
+             : (machine.memory_mb << kMbShift) / kTrafficMemoryDivisor;
+}
+
+net::receive_options ReceiveOptions(const platform::machine_settings& machine) {
+  net::receive_options out;
+  out.limit_bytes = TrafficMemoryLimit(machine);
+  return out;
 }
 
 platform::client_options ClientOptions(
@@ -53,7 +64,9 @@
     : io(io),
       machine(std::move(machine)),
       platform(io.get_executor(), internal::ClientOptions(this->machine)),
-      upstream_connections(internal::kMaxIdleConnections),
+      upstream_connections(
+          internal::kMaxIdleConnections,
+          MaxSockets(this->machine) / internal::kIdleSocketDivisor),
       started_at(SuspendAwareNow()),
       incarnation(internal::MsSinceEpoch()) {
   quarantine_options.crashes_alone_to_condemn = internal::kCrashesToCondemn;
@@ -62,9 +75,12 @@
   fleet_options.billing_complete_after = this->machine.bounds.billing_window +
                                          this->machine.bounds.billing_deadline;
   rate_limit_options.settle_time = this->machine.bounds.contact_recovery_time;
+  warm_up_options = rate_limit::WarmUpOptions(rate_limit_options.settle_time);
   participants.self = this->machine.name;
   participants.started_at = started_at;
-  response_memory->limit = internal::ResponseMemoryLimit(this->machine);
+  response_memory->limit = internal::TrafficMemoryLimit(this->machine);
+  receive_budget = std::make_shared<net::receive_budget>(
+      internal::ReceiveOptions(this->machine));
   lease.self = ProcessIdentity(this->machine.name, incarnation);
 }
 
@@ -75,7 +91,6 @@
 wall_time LocalTime(edge_state& state) {
   return fleet::ReadClock(state.clock, state.clock_options,
                           std::chrono::system_clock::now(), SuspendAwareNow());
-  warm_up_options = rate_limit::WarmUpOptions(rate_limit_options.settle_time);
 }
 
 wall_time FleetTime(edge_state& state) {
@@ -110,6 +125,7 @@
     placement::SetUpstreams(pool, usable);
   }
   ApplyAvailability(state);
+  RefreshWarmUp(state);
 }
 
 void RefreshRemoteLoad(edge_state& state) {
@@ -125,7 +141,6 @@
     for (const auto* member :
          fleet::LiveMembers(state.members, state.fleet_options, now)) {
       fleet::Add(work, member->last.work());
-  RefreshWarmUp(state);
     }
   }
   for (auto& [name, pool] : state.pools) {
@@ -184,6 +199,11 @@
   return static_cast<std::uint32_t>(state.members.by_name.size()) + 1;
 }
 
+std::size_t MaxSockets(const platform::machine_settings& machine) {
+  return machine.max_sockets > 0 ? machine.max_sockets
+                                 : internal::kDefaultMaxSockets;
+}
+
 asio::awaitable<void> Sleep(std::chrono::milliseconds time) {
   asio::steady_timer timer(co_await asio::this_coro::executor, time);
   boost::system::error_code ignored;
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -135,6 +135,8 @@
    * outlive the event loop. */
   std::shared_ptr<forwarding::response_memory> response_memory{
       std::make_shared<forwarding::response_memory>()};
+  /** Memory for requests on their way from callers, at all listeners. */
+  std::shared_ptr<net::receive_budget> receive_budget;
   /** Requests suspected of, or condemned for, crashing upstreams. */
   quarantine::suspect_table quarantine;
   quarantine::options quarantine_options;
@@ -212,6 +214,9 @@
  * retry limits. */
 [[nodiscard]] std::uint32_t EntryCount(const edge_state& state);
 
+/** @brief Returns the number of sockets that the process may open. */
+[[nodiscard]] std::size_t MaxSockets(const platform::machine_settings& machine);
+
 /** @brief Suspends the calling coroutine for the given time. */
 [[nodiscard]] asio::awaitable<void> Sleep(std::chrono::milliseconds time);
 
--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -1,3 +1,7 @@
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -40,10 +44,22 @@
          (random() & kRandomMask);
 }
 
+/** Retry-After of a request that was cut for the memory of others. */
+constexpr std::chrono::milliseconds kMemoryRetryAfter{1000};
+/** Share of the process's descriptors for each of its two listeners; the rest
+ * is for upstreams, the store and other entries. */
+constexpr std::size_t kDescriptorDivisor = 3;
+
 net::http_response MakeServerRefusal(int status, const std::string& message) {
   constexpr int kTooLarge = 413;
   constexpr int kTimeout = 408;
+  constexpr int kUnavailable = 503;
   refusal reason;
+  if (status == kUnavailable) {
+    reason.code = result_code::receive_memory_full;
+    reason.retry_after = kMemoryRetryAfter;
+    return RefusalResponse(reason);
+  }
   reason.code = status == kTooLarge  ? result_code::body_too_large
                 : status == kTimeout ? result_code::caller_too_slow
                                      : result_code::malformed_http;
@@ -51,6 +67,24 @@
   return RefusalResponse(reason);
 }
 
+/**
+ * Size from which the C library returns freed memory to the system at once.
+ * Without a fixed size it rises with the blocks that are freed, up to 32 MB;
+ * the memory of many bodies then stays with the process in pieces.
+ */
+constexpr int kMmapThresholdBytes = 128 * 1024;
+
+/** @brief Returns the number of connections that a listener may have open; 0 if
+ * the system states no limit of descriptors. */
+std::size_t MaxConnections() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return 0;
+  }
+  return std::max<std::size_t>(1, limit.rlim_cur / kDescriptorDivisor);
+}
+
 /** @brief Owns and runs the components of an entry, a daemon on an entry VM. */
 class entry_daemon {
  public:
@@ -88,6 +122,17 @@
     options.limits.header_timeout = settings_.caller_timeout;
     options.limits.body_timeout = settings_.caller_timeout;
     options.refuse = MakeServerRefusal;
+    net::receive_options memory;
+    memory.limit_bytes = settings_.receive_memory_bytes;
+    options.receive_budget = std::make_shared<net::receive_budget>(memory);
+    options.max_connections = MaxConnections();
+    options.on_cut = [this](std::string_view cause,
+                            const std::string& address) {
+      state_.metrics.Count("mimosadeck_callers_cut_off_total", "reason",
+                           std::string(cause));
+      telemetry::Log(telemetry::level::warning, "caller_cut_off",
+                     {{"reason", cause}, {"address", address}});
+    };
     caller_server_ = std::make_unique<net::http_server>(
         traffic_contexts, settings_.caller_address, options,
         [this](auto request, auto& exchange) {
@@ -262,6 +307,7 @@
 
 int main(int argc, char** argv) {
   constexpr int kExitFailure = 1;
+  mallopt(M_MMAP_THRESHOLD, mimosadeck::daemon::internal::kMmapThresholdBytes);
   try {
     TCLAP::CmdLine line("mimosadeck entry daemon", ' ', "0.1.0");
     TCLAP::SwitchArg check("", "check-settings",
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -28,6 +28,7 @@
     code_entry{result_code::idempotency_key_reused, "idempotency_key_reused",
                422},
     code_entry{result_code::caller_too_slow, "caller_too_slow", 408},
+    code_entry{result_code::receive_memory_full, "receive_memory_full", 503},
     code_entry{result_code::key_missing, "key_missing", 401},
     code_entry{result_code::key_unknown, "key_unknown", 401},
     code_entry{result_code::key_withdrawn, "key_withdrawn", 401},
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -25,6 +25,7 @@
   missing_idempotency_key = 1008,
   idempotency_key_reused = 1009,
   caller_too_slow = 1010,
+  receive_memory_full = 1011,
 
   key_missing = 1101,
   key_unknown = 1102,
--- a/src/net/fwd.h
+++ b/src/net/fwd.h
@@ -12,6 +12,11 @@
 class http_client;
 class http_stream;
 class peer_link;
+class receive_budget;
+class receive_claim;
+struct receive_memory;
+struct receive_options;
+struct received;
 
 }  // namespace mimosadeck::net
 
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -125,6 +125,8 @@
 
 struct connection_cache::impl {
   std::size_t max_idle_per_server{};
+  std::size_t max_idle{};
+  std::size_t idle_count{};
   std::map<std::string,
            std::deque<std::shared_ptr<internal::connection>>,
            std::less<>>
@@ -141,6 +143,7 @@
     while (!found->second.empty()) {
       auto kept = std::move(found->second.back());
       found->second.pop_back();
+      --idle_count;
       const auto idle_time = now - kept->idle_since;
       const bool is_fresh = idle_time <= max_idle_time &&
                             (!kept->server_keep_alive_timeout ||
@@ -156,19 +159,38 @@
 
   void Put(const std::string& server,
            std::shared_ptr<internal::connection> kept) {
+    if (max_idle > 0 && idle_count >= max_idle) {
+      return;
+    }
     auto& list = idle[server];
     kept->idle_since = steady::now();
     kept->stream.expires_never();
     list.push_back(std::move(kept));
+    ++idle_count;
     if (list.size() > max_idle_per_server) {
       list.pop_front();
+      --idle_count;
+    }
+  }
+
+  /** @brief Closes connections that became idle before a time; each list has
+   * the oldest first. */
+  void CloseIdleSince(steady::time_point time) {
+    for (auto& [server, list] : idle) {
+      while (!list.empty() && list.front()->idle_since < time) {
+        list.pop_front();
+        --idle_count;
+      }
     }
+    std::erase_if(idle, [](const auto& item) { return item.second.empty(); });
   }
 };
 
-connection_cache::connection_cache(std::size_t max_idle_per_server)
+connection_cache::connection_cache(std::size_t max_idle_per_server,
+                                   std::size_t max_idle)
     : impl_(std::make_shared<impl>()) {
   impl_->max_idle_per_server = max_idle_per_server;
+  impl_->max_idle = max_idle;
 }
 
 connection_cache::~connection_cache() = default;
@@ -176,10 +198,19 @@
 void connection_cache::Forget(std::string_view server) {
   const auto found = impl_->idle.find(server);
   if (found != impl_->idle.end()) {
+    impl_->idle_count -= found->second.size();
     impl_->idle.erase(found);
   }
 }
 
+void connection_cache::CloseIdle(std::chrono::milliseconds max_idle_time) {
+  impl_->CloseIdleSince(steady::now() - max_idle_time);
+}
+
+std::size_t connection_cache::IdleCount() const {
+  return impl_->idle_count;
+}
+
 struct http_call::impl {
   std::shared_ptr<connection_cache::impl> cache;
   asio::any_io_executor executor;
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -26,9 +26,14 @@
  */
 class connection_cache {
  public:
-  /** @param max_idle_per_server Maximum number of idle connections to a
-   * server; the oldest one is closed when it is exceeded. */
-  explicit connection_cache(std::size_t max_idle_per_server);
+  /**
+   * @param max_idle_per_server Maximum number of idle connections to a server;
+   * the oldest one is closed when it is exceeded.
+   * @param max_idle Maximum number of idle connections to all servers; 0 for no
+   * limit. Beyond it a connection is closed instead of kept.
+   */
+  explicit connection_cache(std::size_t max_idle_per_server,
+                            std::size_t max_idle = 0);
   ~connection_cache();
   connection_cache(const connection_cache&) = delete;
   connection_cache& operator=(const connection_cache&) = delete;
@@ -36,6 +41,13 @@
   /** @brief Closes the idle connections to a server. */
   void Forget(std::string_view server);
 
+  /** @brief Closes the connections that have been idle for longer than a time,
+   * whatever has become of their servers. */
+  void CloseIdle(std::chrono::milliseconds max_idle_time);
+
+  /** @brief Returns the number of idle connections. */
+  [[nodiscard]] std::size_t IdleCount() const;
+
  private:
   friend class http_call;
   struct impl;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTP_CONNECTION_H_
 #define NET_HTTP_CONNECTION_H_
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -12,12 +13,15 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "base/time.h"
 #include "net/http_fields.h"
 #include "net/http_server.h"
 #include "net/socket_options.h"
@@ -34,11 +38,20 @@
 inline constexpr int kTooLarge = 413;
 inline constexpr int kTimeout = 408;
 inline constexpr int kHeaderTooLarge = 431;
+inline constexpr int kUnavailable = 503;
 inline constexpr int kContinue = 100;
 /** Bytes of pipelined requests that are read while a request is in progress. */
-inline constexpr std::size_t kReadAheadBytes = 64U * 1024U;
+inline constexpr std::size_t kReadAheadBytes = 16U * 1024U;
 inline constexpr std::size_t kReadAheadStepBytes = 4096;
-inline constexpr std::size_t kDiscardBytes = 64U * 1024U;
+inline constexpr std::size_t kDiscardBytes = 4096;
+/** Bytes of a long body that are read at a time. */
+inline constexpr std::size_t kBodyReadBytes = 16U * 1024U;
+/** Bytes that a chunk extension or the trailer may have beyond the limit of the
+ * header. The input is buffered until such a part is complete. */
+inline constexpr std::size_t kExtraFramingBytes = 16U * 1024U;
+/** A request in progress holds its body, and a copy of it on the way to an
+ * upstream. */
+inline constexpr std::uint64_t kBodyCopies = 2;
 inline constexpr std::chrono::milliseconds kDiscardTime{2000};
 
 inline http_request Convert(http::request<http::string_body>&& in) {
@@ -62,6 +75,16 @@
   std::atomic<bool> drained{false};
 };
 
+/** @brief What a connection does, for the choice of one to close. */
+enum class connection_phase {
+  /** Waits for the first byte of a request. */
+  idle,
+  /** Receives a request. */
+  receiving,
+  /** Answers a request. */
+  answering,
+};
+
 /** @brief Counts a request as active for the lifetime of this object. */
 class active_request {
  public:
@@ -85,6 +108,9 @@
              server_state& server)
       : stream_(std::move(socket)), settings_(settings), server_(server) {
     EnableDeadPeerDetection(stream_.socket());
+    error_code ignored;
+    const auto peer = stream_.socket().remote_endpoint(ignored);
+    address_ = ignored ? std::string{} : peer.address().to_string();
   }
 
   asio::awaitable<void> Run(http_handler handler) {
@@ -95,19 +121,25 @@
         break;
       }
       const active_request active(server_);
-      auto request = co_await Receive();
+      receive_claim claim(settings_.receive_budget.get(), address_,
+                          [weak = weak_from_this()] { CutLater(weak); });
+      std::optional<http_request> request;
+      const auto failure = co_await Receive(claim, request);
+      if (failure && failure != http::error::end_of_stream) {
+        co_await Refuse(failure);
+      }
       if (!request || server_.drained) {
         break;
       }
-      keep_alive_ = request->keep_alive();
+      SetPhase(connection_phase::answering);
       started_ = false;
       try {
-        auto converted = Convert(std::move(*request));
-        co_await handler(std::move(converted), *this);
+        co_await handler(*std::move(request), *this);
       } catch (const std::exception&) {
         closed_ = true;
       }
       StopWatching();
+      ReleaseBuffer();
       if (!keep_alive_ || !started_) {
         break;
       }
@@ -122,6 +154,22 @@
     }
   }
 
+  /** @brief Closes the connection unless it answers a request. */
+  void CloseUnlessAnswering() {
+    if (phase_ != connection_phase::answering) {
+      Close();
+    }
+  }
+
+  /** @brief Returns the address of the caller, without the port. */
+  [[nodiscard]] const std::string& Address() const { return address_; }
+
+  /** @brief Returns what the connection does. */
+  [[nodiscard]] connection_phase Phase() const { return phase_; }
+
+  /** @brief Returns when the last bytes arrived or the phase changed. */
+  [[nodiscard]] mono_time ProgressedAt() const { return progressed_at_; }
+
   asio::awaitable<bool> Respond(http_response response) override {
     StopWatching();
     started_ = true;
@@ -204,6 +252,7 @@
     }
     error_code failure;
     reading_ = true;
+    SetPhase(connection_phase::idle);
     stream_.expires_after(limits_.idle_timeout);
     const auto read = co_await stream_.async_read_some(
         buffer_.prepare(kReadAheadStepBytes),
@@ -224,8 +273,16 @@
     return keep_alive_;
   }
 
-  asio::awaitable<std::optional<http::request<http::string_body>>> Receive() {
+  /** @brief Receives a request. Its memory is free when this returns an error,
+   * so that a caller that is slow to take the refusal holds none. */
+  asio::awaitable<error_code> Receive(receive_claim& claim,
+                                      std::optional<http_request>& out) {
     limits_ = CurrentLimits();
+    SetPhase(connection_phase::receiving);
+    was_cut_ = false;
+    buffer_.max_size(
+        std::max<std::size_t>(limits_.header_limit_bytes, kReadAheadBytes) +
+        kExtraFramingBytes);
     parser_type parser;
     parser.body_limit(limits_.body_limit_bytes);
     parser.header_limit(limits_.header_limit_bytes);
@@ -238,19 +295,22 @@
       failure = http::error::bad_transfer_encoding;
     }
     if (!failure) {
-      failure = co_await ReadRest(parser);
-    }
-    if (!failure) {
-      co_return parser.release();
+      failure = co_await ReadRest(parser, claim);
     }
-    if (failure != http::error::end_of_stream) {
-      co_await Refuse(failure);
+    if (failure) {
+      ReleaseBuffer();
+      co_return failure;
     }
-    co_return std::nullopt;
+    keep_alive_ = parser.keep_alive();
+    claim.SetWhole(kBodyCopies * parser.get().body().size());
+    out = Convert(parser.release());
+    co_return failure;
   }
 
-  asio::awaitable<error_code> ReadRest(parser_type& parser) {
+  asio::awaitable<error_code> ReadRest(parser_type& parser,
+                                       receive_claim& claim) {
     error_code failure;
+    SetOwner(parser.get(), claim);
     stream_.expires_after(limits_.body_timeout);
     if (parser.get().find(http::field::expect) != parser.get().end()) {
       const http::response<http::empty_body> continue_response{
@@ -262,12 +322,101 @@
         co_return failure;
       }
     }
-    co_await http::async_read(
-        stream_, buffer_, parser,
+    parser.eager(true);
+    while (!failure && !Parse(parser, failure) && !failure) {
+      was_cut_ =
+          was_cut_ || !claim.Hold(BodyBytes(parser) + buffer_.capacity());
+      if (!was_cut_) {
+        failure = co_await ReadMore(parser);
+      }
+      if (was_cut_) {
+        failure = asio::error::no_buffer_space;
+      }
+    }
+    co_return failure;
+  }
+
+  /** @brief Parses the buffered input. Unlike the reading functions of the
+   * library it returns after each read, so that the bytes can be counted.
+   * @return True if the request is complete. */
+  bool Parse(parser_type& parser, error_code& failure) {
+    if (!parser.is_done() && buffer_.size() > 0) {
+      buffer_.consume(parser.put(buffer_.data(), failure));
+      if (failure == http::error::need_more) {
+        failure = {};
+      }
+    }
+    return parser.is_done();
+  }
+
+  asio::awaitable<error_code> ReadMore(parser_type& parser) {
+    error_code failure;
+    const auto room = buffer_.max_size() - buffer_.size();
+    if (room == 0) {
+      co_return http::error::buffer_overflow;
+    }
+    const auto wanted = parser.content_length_remaining().value_or(0);
+    const auto step =
+        wanted > kReadAheadStepBytes ? kBodyReadBytes : kReadAheadStepBytes;
+    const auto read = co_await stream_.async_read_some(
+        buffer_.prepare(std::min(room, step)),
         asio::redirect_error(asio::use_awaitable, failure));
+    buffer_.commit(read);
+    if (read > 0) {
+      progressed_at_ = SuspendAwareNow();
+    }
+    if (failure == asio::error::eof) {
+      failure = {};
+      parser.put_eof(failure);
+    }
     co_return failure;
   }
 
+  /** @brief Returns the memory that a body occupies. One with a length gets it
+   * at once, but the system provides only what was written to. */
+  static std::uint64_t BodyBytes(parser_type& parser) {
+    const auto& body = parser.get().body();
+    return parser.content_length() ? body.size() : body.capacity();
+  }
+
+  /** @brief Counts the request's bytes as its account's, if that is known. */
+  void SetOwner(const http::request<http::string_body>& head,
+                receive_claim& claim) const {
+    if (!settings_.owner_of) {
+      return;
+    }
+    auto owner = settings_.owner_of(FieldsOf(head));
+    if (!owner.empty()) {
+      claim.SetOwner(std::move(owner));
+    }
+  }
+
+  /** @brief Ends the receipt of a request that must give up its memory. */
+  static void CutLater(const std::weak_ptr<connection>& weak) {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    asio::post(self->stream_.get_executor(), [self] {
+      if (self->phase_ == connection_phase::receiving) {
+        self->was_cut_ = true;
+        self->stream_.cancel();
+      }
+    });
+  }
+
+  void SetPhase(connection_phase phase) {
+    phase_ = phase;
+    progressed_at_ = SuspendAwareNow();
+  }
+
+  /** @brief Frees the input buffer if it grew for one request. */
+  void ReleaseBuffer() {
+    if (buffer_.size() == 0 && buffer_.capacity() > kReadAheadStepBytes) {
+      buffer_.shrink_to_fit();
+    }
+  }
+
   /** @brief Returns false for ambiguous framing or host, such as both a length
    * and chunks, with which two servers might disagree on where the request
    * ends. */
@@ -297,8 +446,14 @@
       co_return;
     }
     int status = kMalformed;
-    if (failure == http::error::body_limit) {
+    if (failure == asio::error::no_buffer_space) {
+      status = kUnavailable;
+      Notify("memory");
+    } else if (failure == http::error::body_limit) {
       status = kTooLarge;
+    } else if (failure == http::error::buffer_overflow) {
+      status = kHeaderTooLarge;
+      Notify("framing");
     } else if (failure == http::error::header_limit) {
       status = kHeaderTooLarge;
     } else if (failure == beast::error::timeout) {
@@ -313,6 +468,12 @@
     co_await Discard();
   }
 
+  void Notify(std::string_view reason) const {
+    if (settings_.on_cut) {
+      settings_.on_cut(reason, address_);
+    }
+  }
+
   /** @brief Reads and discards input for up to kDiscardTime. Unread bytes would
    * reset the connection, and the caller could lose the error response. */
   asio::awaitable<void> Discard() {
@@ -338,6 +499,9 @@
 
   void Watch(const std::shared_ptr<asio::cancellation_signal>& watch,
              std::function<void()> on_disconnect) {
+    if (buffer_.size() >= kReadAheadBytes) {
+      return;
+    }
     stream_.socket().async_wait(
         tcp::socket::wait_read,
         asio::bind_cancellation_slot(
@@ -349,7 +513,7 @@
               }
               if (self->ReadAhead()) {
                 on_disconnect();
-              } else if (self->buffer_.size() < kReadAheadBytes) {
+              } else {
                 self->Watch(watch, on_disconnect);
               }
             }));
@@ -399,6 +563,12 @@
   bool started_{false};
   bool closed_{false};
   bool reading_{false};
+  /** The request gave up its memory to others. */
+  bool was_cut_{false};
+  /** Address of the caller, without the port. */
+  std::string address_;
+  std::atomic<connection_phase> phase_{connection_phase::idle};
+  std::atomic<mono_time> progressed_at_{SuspendAwareNow()};
 };
 
 }  // namespace mimosadeck::net::internal
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,10 @@
 /** Interval at which a drain checks for requests in progress. */
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
 constexpr std::chrono::milliseconds kAcceptPause{50};
+/** Receive buffer of a connection in the kernel. Input that the process does
+ * not read, such as further pipelined requests, stays there and occupies the
+ * VM's memory. A body of this size arrives within a round trip. */
+constexpr int kSocketReceiveBytes = 128 * 1024;
 
 }  // namespace
 }  // namespace internal
@@ -62,6 +66,9 @@
             asio::redirect_error(asio::use_awaitable, failure));
         continue;
       }
+      if (!self->MakeRoom(socket)) {
+        continue;
+      }
       auto made = std::make_shared<internal::connection>(
           std::move(socket), self->settings, self->state);
       self->Register(made, context);
@@ -75,6 +82,58 @@
     }
   }
 
+  /** @brief Makes room for another connection. @return False if it must be
+   * closed. */
+  bool MakeRoom(const tcp::socket& accepted) {
+    const std::lock_guard lock(mutex);
+    if (settings.max_connections == 0 ||
+        open.size() < settings.max_connections) {
+      return true;
+    }
+    const auto victim = SelectVictim();
+    if (victim == open.end()) {
+      error_code ignored;
+      const auto peer = accepted.remote_endpoint(ignored);
+      Notify("refused", ignored ? std::string{} : peer.address().to_string());
+      return false;
+    }
+    const bool is_idle =
+        victim->first->Phase() == internal::connection_phase::idle;
+    Notify(is_idle ? "idle" : "receiving", victim->first->Address());
+    asio::post(*victim->second,
+               [made = victim->first] { made->CloseUnlessAnswering(); });
+    // It counts no more, though it is closed on its own thread.
+    open.erase(victim);
+    return true;
+  }
+
+  using connection_map =
+      std::map<std::shared_ptr<internal::connection>, asio::io_context*>;
+
+  /** @brief Returns the connection that may be closed with the least harm. */
+  connection_map::iterator SelectVictim() {
+    auto victim = open.end();
+    for (auto item = open.begin(); item != open.end(); ++item) {
+      const auto phase = item->first->Phase();
+      if (phase == internal::connection_phase::answering) {
+        continue;
+      }
+      const auto rank = [](const auto& made) {
+        return std::pair(made->Phase(), made->ProgressedAt());
+      };
+      if (victim == open.end() || rank(item->first) < rank(victim->first)) {
+        victim = item;
+      }
+    }
+    return victim;
+  }
+
+  void Notify(std::string_view reason, const std::string& address) const {
+    if (settings.on_cut) {
+      settings.on_cut(reason, address);
+    }
+  }
+
   void Register(const std::shared_ptr<internal::connection>& made,
                 asio::io_context& context) {
     const std::lock_guard lock(mutex);
@@ -92,7 +151,7 @@
   tcp::acceptor acceptor;
   internal::server_state state;
   std::mutex mutex;
-  std::map<std::shared_ptr<internal::connection>, asio::io_context*> open;
+  connection_map open;
 };
 
 http_server::http_server(std::vector<asio::io_context*> contexts,
@@ -106,6 +165,11 @@
   impl_->acceptor.open(endpoint.protocol());
   impl_->acceptor.set_option(tcp::acceptor::reuse_address(true));
   impl_->acceptor.bind(endpoint);
+  // Accepted connections inherit it.
+  error_code ignored;
+  impl_->acceptor.set_option(
+      asio::socket_base::receive_buffer_size(internal::kSocketReceiveBytes),
+      ignored);
   impl_->acceptor.listen();
   asio::co_spawn(*impl_->contexts.front(), impl::Accept(impl_), asio::detached);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "net/http_types.h"
+#include "net/receive_budget.h"
 
 namespace mimosadeck::net {
 
@@ -78,6 +80,21 @@
   /** Builds the response to a request that the server itself rejects; without
    * it the connection is closed. */
   std::function<http_response(int code, const std::string& message)> refuse;
+  /** Memory for requests, shared by several servers; null for no limit. */
+  std::shared_ptr<class receive_budget> receive_budget;
+  /** Returns the account on which the bytes of a request are counted; empty if
+   * it is not known, and its caller's address is used. */
+  std::function<std::string(const http_fields& fields)> owner_of;
+  /** Connections that are open at a time; 0 for no limit. For a further one,
+   * the connection that has been idle for longest is closed or, without an idle
+   * one, that which has received nothing for longest. If all are being
+   * answered, the new one is closed. */
+  std::size_t max_connections{};
+  /** Called when a caller is cut off to protect the process, with a reason
+   * (`memory`, `framing`, `idle`, `receiving`, `refused`) and the caller's
+   * address. May be called on any thread. */
+  std::function<void(std::string_view reason, const std::string& address)>
+      on_cut;
 };
 
 /**
--- a/src/settings/file.cc
+++ b/src/settings/file.cc
@@ -21,6 +21,8 @@
 constexpr double kMaxMillis = 24.0 * 3600 * 1000;
 constexpr double kMaxThreads = 64;
 constexpr double kMaxBodyBytes = 64.0 * 1024 * 1024;
+constexpr double kMinReceiveBytes = 1024 * 1024;
+constexpr double kMaxReceiveBytes = 1024.0 * 1024 * 1024 * 1024;
 
 /** @brief Collects the errors of one file. */
 struct error_collector {
@@ -110,6 +112,11 @@
          out.body_limit_bytes = value.to_number<std::uint64_t>();
        },
        value_kind::integer},
+      {"receive_memory_bytes", false, kMinReceiveBytes, kMaxReceiveBytes,
+       [](daemon_settings& out, const json::value& value) {
+         out.receive_memory_bytes = value.to_number<std::uint64_t>();
+       },
+       value_kind::integer},
       {"targets_check_fencing", false, 0, 1,
        [](daemon_settings& out, const json::value& value) {
          out.targets_check_fencing = value.as_bool();
--- a/src/settings/file.h
+++ b/src/settings/file.h
@@ -29,6 +29,7 @@
   std::string operator_key_hash;
   std::uint32_t traffic_threads{2};
   std::uint64_t body_limit_bytes{1U << 20U};
+  std::uint64_t receive_memory_bytes{64U << 20U};
   std::chrono::milliseconds caller_timeout{10000};
   std::chrono::milliseconds silence_limit{2000};
   std::chrono::milliseconds entries_time_to_live{2000};
--- a/test/net/http_call_test.cc
+++ b/test/net/http_call_test.cc
@@ -280,6 +280,22 @@
   }
 }
 
+// Guards against connections that stay open for good because no further call
+// goes to their server.
+BOOST_AUTO_TEST_CASE(idle_connection_is_closed_after_a_time) {
+  scripts = {kResponse, kResponse};
+  BOOST_REQUIRE(IsText(SendRequest(), "ok"));
+  BOOST_TEST(cache.IdleCount() == 1);
+  cache.CloseIdle(1h);
+  BOOST_TEST(cache.IdleCount() == 1);
+  cache.CloseIdle(0ms);
+  BOOST_TEST(cache.IdleCount() == 0);
+  BOOST_REQUIRE(IsText(SendRequest(), "ok"));
+  BOOST_TEST(connections == 2);
+  cache.Forget("s");
+  BOOST_TEST(cache.IdleCount() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(response_shorter_than_its_length_is_incomplete) {
   closes_after = true;
   scripts = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"};
--- a/test/net/http_server_test.cc
+++ b/test/net/http_server_test.cc
@@ -248,4 +248,79 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A server with two connections at most, which answers at once. */
+struct small_server {
+  asio::io_context io{1};
+  std::vector<std::string> cuts;
+  net::http_server server{
+      std::vector<asio::io_context*>{&io}, "127.0.0.1:0", Options(),
+      [](net::http_request, net::exchange& exchange) -> asio::awaitable<void> {
+        net::http_response response;
+        response.body = "answered";
+        co_await exchange.Respond(std::move(response));
+      }};
+
+  net::server_options Options() {
+    net::server_options out;
+    out.max_connections = 2;
+    out.on_cut = [this](std::string_view reason, const std::string&) {
+      cuts.emplace_back(reason);
+    };
+    return out;
+  }
+
+  tcp::socket Connect() {
+    tcp::socket out(io);
+    out.connect(net::ParseEndpoint(server.Address()));
+    Settle();
+    return out;
+  }
+
+  void Settle() {
+    io.restart();
+    io.run_for(50ms);
+  }
+
+  /** Returns whether the server has closed a connection. */
+  bool IsClosed(tcp::socket& caller) {
+    Settle();
+    caller.non_blocking(true);
+    char byte = 0;
+    boost::system::error_code failure;
+    caller.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+    return failure && failure != asio::error::would_block;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(connection_limit, small_server)
+
+// Guards against callers that open connections until no descriptor is left.
+BOOST_AUTO_TEST_CASE(oldest_idle_connection_makes_room_for_another) {
+  auto first = Connect();
+  auto second = Connect();
+  auto third = Connect();
+  BOOST_TEST(IsClosed(first));
+  BOOST_TEST(!IsClosed(second));
+  asio::write(third, asio::buffer(std::string(kRequest)));
+  Settle();
+  BOOST_TEST(third.available() > 0);
+  BOOST_TEST((cuts == std::vector<std::string>{"idle"}));
+}
+
+// Guards against a crowd that locks others out with requests that stop.
+BOOST_AUTO_TEST_CASE(stopped_request_makes_room_if_none_is_idle) {
+  auto first = Connect();
+  asio::write(first, asio::buffer(std::string(kRequestParts[0])));
+  auto second = Connect();
+  asio::write(second, asio::buffer(std::string(kRequestParts[0])));
+  Settle();
+  auto third = Connect();
+  asio::write(third, asio::buffer(std::string(kRequest)));
+  Settle();
+  BOOST_TEST(third.available() > 0);
+  BOOST_TEST((cuts == std::vector<std::string>{"receiving"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
