--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -310,7 +310,7 @@
   asio::awaitable<error_code> ReadRest(parser_type& parser,
                                        receive_claim& claim) {
     error_code failure;
-    SetOwner(parser.get(), claim);
+    bool has_owner = false;
     stream_.expires_after(limits_.body_timeout);
     if (parser.get().find(http::field::expect) != parser.get().end()) {
       const http::response<http::empty_body> continue_response{
@@ -324,8 +324,13 @@
     }
     parser.eager(true);
     while (!failure && !Parse(parser, failure) && !failure) {
-      was_cut_ =
-          was_cut_ || !claim.Hold(BodyBytes(parser) + buffer_.capacity());
+      const auto bytes = BodyBytes(parser) + buffer_.capacity();
+      // Smaller requests are within their reserve and need no owner.
+      if (!has_owner && bytes > kReadAheadBytes) {
+        SetOwner(parser.get(), claim);
+        has_owner = true;
+      }
+      was_cut_ = was_cut_ || !claim.Hold(bytes);
       if (!was_cut_) {
         failure = co_await ReadMore(parser);
       }
