--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -43,8 +43,7 @@
       {result_code::unknown_route, executed::no, {}, ""});
 }
 
-/** Retry-After of a request that was cut for the memory of others: those that
- * make no progress are cut within this time, too. */
+/** Retry-After of a request that was cut for the memory of others. */
 constexpr std::chrono::milliseconds kMemoryRetryAfter{500};
 /** Shares of the sockets: connections of callers, of which each may have one to
  * an upstream, and those of each internal listener. */
