--- a/apps/mimosadeckd/edge/gossip.cc
+++ b/apps/mimosadeckd/edge/gossip.cc
@@ -237,9 +237,7 @@
   out.set_fencing(lease::IsHeld(state_.lease, now) ? state_.lease.fencing : 0);
   out.set_members_known(
       static_cast<std::uint32_t>(state_.members.by_name.size()));
-  out.set_store_followed(state_.store_followed);
-  out.set_store_followed_ms(
-      static_cast<std::uint32_t>(StoreFollowedFor(state_).count()));
+  fleet::EncodeReads(state_.store_reads, state_.fleet_options, now, out);
   out.set_registry_version(
       registry::ToInteger(state_.upstreams.changed_version));
   internal::FillWork(state_, out);
--- a/apps/mimosadeckd/edge/observe.cc
+++ b/apps/mimosadeckd/edge/observe.cc
@@ -1,5 +1,9 @@
 #include "mimosadeckd/edge/observe.h"
 
+#include <array>
+#include <string>
+#include <utility>
+
 namespace mimosadeck::edge {
 namespace internal {
 namespace {
@@ -41,6 +45,21 @@
               placement::MsPerToken(pool.read_times) / kMsPerSecond);
 }
 
+/** Sets the age of the newest read of each feed that this entry knows of. */
+void SetReadAges(edge_state& state, mono_time now) {
+  const std::array<std::pair<std::string, fleet::store_feed>, 2> feeds{
+      {{"operator_rows", fleet::store_feed::operator_rows},
+       {"upstreams", fleet::store_feed::upstreams}}};
+  for (const auto& [name, feed] : feeds) {
+    const auto newest = fleet::NewestRead(state.members, state.fleet_options,
+                                          SelfInfo(state), feed, now);
+    if (newest) {
+      state.metrics.Set("mimosadeck_store_read_age_seconds", "feed", name,
+                        Seconds(now - *newest));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -62,7 +81,8 @@
                 internal::Seconds(now - *state.registry_synced_at));
   }
   metrics.Set("mimosadeck_store_followed", "entry", entry,
-              state.store_followed ? 1 : 0);
+              state.store_reads.upstreams.answered_since ? 1 : 0);
+  internal::SetReadAges(state, now);
   metrics.Set(
       "mimosadeck_entries_heard", "entry", entry,
       static_cast<double>(
--- a/apps/mimosadeckd/edge/state.cc
+++ b/apps/mimosadeckd/edge/state.cc
@@ -71,6 +71,7 @@
       incarnation(internal::MsSinceEpoch()) {
   quarantine_options.crashes_alone_to_condemn = internal::kCrashesToCondemn;
   quarantine_options.crashes_to_condemn = internal::kCrashesToCondemn;
+  fleet_options.apply_time = this->machine.bounds.apply_time;
   fleet_options.billing_window = this->machine.bounds.billing_window;
   fleet_options.billing_complete_after = this->machine.bounds.billing_window +
                                          this->machine.bounds.billing_deadline;
@@ -167,27 +168,31 @@
           state.machine.link_mbps,
           std::chrono::duration_cast<std::chrono::milliseconds>(
               SuspendAwareNow() - state.started_at),
-          state.store_followed};
+          state.store_reads};
 }
 
-bool FollowsStore(const edge_state& state) {
+bool FollowsStore(const edge_state& state, fleet::store_feed feed) {
   return fleet::FollowsStore(state.members, state.fleet_options,
-                             SelfInfo(state), SuspendAwareNow());
-}
-
-std::chrono::milliseconds StoreFollowedFor(const edge_state& state) {
-  return state.store_followed
-             ? std::chrono::duration_cast<std::chrono::milliseconds>(
-                   SuspendAwareNow() - state.store_followed_since)
-             : std::chrono::milliseconds(0);
+                             SelfInfo(state), feed, SuspendAwareNow());
 }
 
 bool IsRegistryCurrent(const edge_state& state) {
-  if (state.store_followed) {
+  const auto now = SuspendAwareNow();
+  const auto age_limit =
+      fleet::ReadAgeLimit(state.fleet_options, state.machine.name);
+  const auto is_recent = [&](std::optional<mono_time> read_up_to) {
+    return read_up_to && now - *read_up_to <= age_limit;
+  };
+  const auto& own = state.store_reads.upstreams;
+  if (own.answered_since && is_recent(own.read_up_to)) {
     return true;
   }
-  const auto live =
-      fleet::LiveMembers(state.members, state.fleet_options, SuspendAwareNow());
+  if (!is_recent(fleet::NewestRead(state.members, state.fleet_options,
+                                   SelfInfo(state),
+                                   fleet::store_feed::upstreams, now))) {
+    return false;
+  }
+  const auto live = fleet::LiveMembers(state.members, state.fleet_options, now);
   return std::any_of(live.begin(), live.end(), [&state](const auto* member) {
     return member->last.store_followed() &&
            member->last.registry_version() <=
--- a/apps/mimosadeckd/edge/state.h
+++ b/apps/mimosadeckd/edge/state.h
@@ -101,11 +101,8 @@
   /** When the registry was last confirmed to be complete, by the store or by a
    * copy from another entry; unset before the first time. */
   std::optional<mono_time> registry_synced_at;
-  /** This entry reads upstream changes directly from the store, and its last
-   * read succeeded. */
-  bool store_followed{};
-  /** When store_followed became true; undefined while it is false. */
-  mono_time store_followed_since;
+  /** What this entry has read from the store itself. */
+  fleet::feed_records store_reads;
 
   /** Upstreams and load of each service, by service name. */
   std::map<std::string, placement::pool, std::less<>> pools;
@@ -197,14 +194,10 @@
  */
 [[nodiscard]] fleet::self_status SelfInfo(const edge_state& state);
 
-/** @brief Returns whether this entry should read changes directly from the
- * store instead of copying them from other entries. */
-[[nodiscard]] bool FollowsStore(const edge_state& state);
-
-/** @brief Returns for how long the store has answered this entry without a
- * break; zero if it does not. */
-[[nodiscard]] std::chrono::milliseconds StoreFollowedFor(
-    const edge_state& state);
+/** @brief Returns whether this entry should read a feed directly from the store
+ * instead of copying it from other entries. */
+[[nodiscard]] bool FollowsStore(const edge_state& state,
+                                fleet::store_feed feed);
 
 /** @brief Returns whether the registry is as recent as that of an entry which
  * reads the store. */
--- a/apps/mimosadeckd/edge/sync.cc
+++ b/apps/mimosadeckd/edge/sync.cc
@@ -5,6 +5,7 @@
 
 #include "mimosadeckd/edge/evacuations.h"
 #include "mimosadeckd/edge/peer_input.h"
+#include "mimosadeckd/edge/store_feed.h"
 #include "wire/digest.pb.h"
 
 namespace mimosadeck::edge {
@@ -19,39 +20,6 @@
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 constexpr std::string_view kSince = "?since=";
 
-/** @brief Logs each loss and each recovery of a dependency once. */
-class dependency_log {
- public:
-  explicit dependency_log(std::string_view name) : name_(name) {}
-
-  /** @return Duration of the outage that the answer ended, if there was one. */
-  std::optional<std::chrono::milliseconds> OnAnswer(mono_time now) {
-    if (!lost_at_) {
-      return std::nullopt;
-    }
-    const auto away =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - *lost_at_);
-    telemetry::Log(
-        telemetry::level::info, "dependency_regained",
-        {{"dependency", name_}, {"away_ms", std::to_string(away.count())}});
-    lost_at_.reset();
-    return away;
-  }
-
-  void OnFailure(std::string_view reason, mono_time now) {
-    if (lost_at_) {
-      return;
-    }
-    lost_at_ = now;
-    telemetry::Log(telemetry::level::warning, "dependency_lost",
-                   {{"dependency", name_}, {"reason", reason}});
-  }
-
- private:
-  std::string name_;
-  std::optional<mono_time> lost_at_;
-};
-
 /** @brief Returns a place in the store's history for the log: the version, and
  * before it the era if the store states one. */
 std::string Describe(registry::store_version at) {
@@ -147,38 +115,11 @@
   co_return std::get<std::string>(std::move(body));
 }
 
-bool WatchesStore(const edge_state& state) {
-  return fleet::WatchesStore(state.members, state.fleet_options,
-                             SelfInfo(state), SuspendAwareNow());
-}
-
-/**
- * @brief Returns the delay before a store that did not answer is called again.
- *
- * An entry that was cut off cannot distinguish its return from the end of a
- * store outage, and keeps unregistered upstreams for the grace period. Delay,
- * connection setup and grace period together must end before the agreed bounds
- * apply again.
- */
-std::chrono::milliseconds StoreRetryDelay(const edge_state& state) {
-  const auto longest = state.machine.bounds.contact_recovery_time -
-                       state.registry_options.reregistration_grace -
-                       platform::kConnectTimeout;
-  return fleet::StoreRetryDelay(state.members, state.fleet_options,
-                                SelfInfo(state), longest, SuspendAwareNow());
-}
-
-/** @brief Returns how this entry follows changes in the store. */
-fleet::following_pace Pace(const edge_state& state) {
-  return fleet::PaceOf(WatchesStore(state),
-                       state.machine.bounds.contact_recovery_time);
-}
-
 /** @brief Returns whether the store has answered this entry or another one
  * without a break for a time up to now. */
 bool HasStoreAnsweredFor(const edge_state& state,
                          std::chrono::milliseconds time) {
-  return StoreFollowedFor(state) > time ||
+  return fleet::AnsweredFor(state.store_reads.upstreams) > time ||
          fleet::WasStoreReachableThroughout(state.members, state.fleet_options,
                                             time, SuspendAwareNow());
 }
@@ -359,23 +300,22 @@
 }
 
 asio::awaitable<void> FollowManifest(edge_state& state) {
-  internal::dependency_log store("store.manifest");
+  followed_feed store{fleet::store_feed::operator_rows, "store.manifest"};
   state.platform.ReadOperatorRowsAgain();
   while (!state.stopping) {
-    if (!FollowsStore(state)) {
+    if (!ShouldFollow(state, store)) {
       co_await Sleep(fleet::kVersionCheckInterval);
       continue;
     }
     auto step = co_await state.platform.NextOperatorUpdate(
-        internal::Pace(state).feed_wait);
-    const auto now = SuspendAwareNow();
+        PaceOf(state, store).feed_wait);
     if (const auto* away = std::get_if<platform::store_failure>(&step)) {
-      store.OnFailure(away->reason, now);
-      co_await Sleep(internal::StoreRetryDelay(state));
+      OnFailure(state, store, away->reason);
+      co_await Sleep(StoreRetryDelay(state));
       continue;
     }
-    store.OnAnswer(now);
     const auto& update = std::get<platform::operator_update>(step);
+    OnAnswer(state, store, update.read_up_to);
     ApplyEvacuations(state, update);
     if (update.manifest) {
       AdoptManifest(state, *update.manifest, "store");
@@ -384,30 +324,31 @@
 }
 
 asio::awaitable<void> FollowUpstreams(edge_state& state) {
-  internal::dependency_log store("store.upstreams");
+  followed_feed store{fleet::store_feed::upstreams, "store.upstreams"};
   state.platform.ListUpstreamsAgain();
   while (!state.stopping) {
-    if (!FollowsStore(state)) {
-      state.store_followed = false;
+    if (!ShouldFollow(state, store)) {
       co_await Sleep(fleet::kVersionCheckInterval);
       continue;
     }
     auto step =
-        co_await state.platform.NextUpstreams(internal::Pace(state).feed_wait);
-    const auto now = SuspendAwareNow();
+        co_await state.platform.NextUpstreams(PaceOf(state, store).feed_wait);
     if (const auto* away = std::get_if<platform::store_failure>(&step)) {
-      store.OnFailure(away->reason, now);
-      state.store_followed = false;
-      co_await Sleep(internal::StoreRetryDelay(state));
+      OnFailure(state, store, away->reason);
+      co_await Sleep(StoreRetryDelay(state));
       continue;
     }
-    const auto outage = store.OnAnswer(now);
+    const auto now = SuspendAwareNow();
+    auto* listing = std::get_if<platform::upstream_listing>(&step);
+    auto* changed = std::get_if<platform::upstream_changes>(&step);
+    const auto outage = OnAnswer(
+        state, store, listing ? listing->read_up_to : changed->read_up_to);
     if (outage && !fleet::WasStoreReachableThroughout(
                       state.members, state.fleet_options, *outage, now)) {
       registry::OnStoreRecovered(state.upstreams, state.registry_options, now);
     }
     const auto before = state.upstreams.by_id;
-    if (auto* listing = std::get_if<platform::upstream_listing>(&step)) {
+    if (listing) {
       if (registry::EraOf(listing->version) >
           registry::EraOf(state.upstreams.version)) {
         telemetry::Log(
@@ -431,19 +372,15 @@
         internal::LogDifference(before, state.upstreams);
       }
     } else {
-      auto& changes = std::get<platform::upstream_changes>(step).changes;
+      auto& changes = changed->changes;
       internal::LogIgnoredChanges(state.upstreams, changes);
       registry::OnChanges(state.upstreams, state.registry_options,
                           std::move(changes), now);
       internal::LogDifference(before, state.upstreams);
     }
     state.registry_synced_at = now;
-    if (!state.store_followed) {
-      state.store_followed_since = now;
-    }
-    state.store_followed = true;
     RefreshPools(state);
-    co_await Sleep(internal::Pace(state).poll_interval);
+    co_await PauseAfterAnswer(state, store);
   }
 }
 
@@ -455,7 +392,9 @@
     const auto* from =
         internal::FindNewer(state, &wire::digest::manifest_version,
                             state.table ? state.table->Version() : 0, failures);
-    if (timer.HasLasted(from, fleet::CopyDelay(FollowsStore(state)))) {
+    const bool follows_store =
+        FollowsStore(state, fleet::store_feed::operator_rows);
+    if (timer.HasLasted(from, fleet::CopyDelay(follows_store))) {
       const bool copied = co_await internal::CopyManifest(state, *from);
       failures += copied ? 0 : 1;
     }
@@ -479,7 +418,9 @@
     const auto* from = internal::FindNewer(
         state, &wire::digest::registry_version,
         registry::ToInteger(state.upstreams.version), failures);
-    if (timer.HasLasted(from, fleet::CopyDelay(FollowsStore(state)))) {
+    const bool follows_store =
+        FollowsStore(state, fleet::store_feed::upstreams);
+    if (timer.HasLasted(from, fleet::CopyDelay(follows_store))) {
       const bool copied = co_await internal::CopyRegistry(state, *from);
       failures += copied ? 0 : 1;
     }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -99,6 +100,69 @@
   }
 }
 
+/** Returns up to which time a feed was read, as of a message that gives the
+ * time since then. */
+std::optional<mono_time> ReadUpTo(bool is_known,
+                                  std::uint32_t ms_ago,
+                                  mono_time sent_at) {
+  return is_known ? std::optional(sent_at - std::chrono::milliseconds(ms_ago))
+                  : std::nullopt;
+}
+
+std::uint32_t MsSince(mono_time time, mono_time now) {
+  const auto elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      elapsed, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/** Sets up to which time each feed was read, in a digest or a summary. */
+template <typename Message>
+void EncodeReadTimes(const feed_records& reads, mono_time now, Message& out) {
+  if (reads.operator_rows.read_up_to) {
+    out.set_operator_rows_read_ms_ago(
+        MsSince(*reads.operator_rows.read_up_to, now));
+  }
+  if (reads.upstreams.read_up_to) {
+    out.set_upstreams_read_ms_ago(MsSince(*reads.upstreams.read_up_to, now));
+  }
+}
+
+/** Returns what a member has read from the store, as of one of its digests. */
+feed_records DecodeRecords(const wire::digest& received, mono_time sent_at) {
+  feed_records out;
+  out.operator_rows.read_up_to =
+      ReadUpTo(received.has_operator_rows_read_ms_ago(),
+               received.operator_rows_read_ms_ago(), sent_at);
+  auto& upstreams = out.upstreams;
+  upstreams.read_up_to = ReadUpTo(received.has_upstreams_read_ms_ago(),
+                                  received.upstreams_read_ms_ago(), sent_at);
+  if (upstreams.read_up_to && received.store_followed_ms() > 0) {
+    upstreams.answered_since =
+        *upstreams.read_up_to -
+        std::chrono::milliseconds(received.store_followed_ms());
+  }
+  return out;
+}
+
+/** Applies the newest reads that a relay knows of. */
+void UpdateReportedReads(members& state,
+                         const wire::summary& received,
+                         mono_time now) {
+  const auto update = [](std::optional<mono_time>& known,
+                         std::optional<mono_time> reported) {
+    if (reported && (!known || *known < *reported)) {
+      known = reported;
+    }
+  };
+  update(state.reported_reads.operator_rows.read_up_to,
+         ReadUpTo(received.has_operator_rows_read_ms_ago(),
+                  received.operator_rows_read_ms_ago(), now));
+  update(state.reported_reads.upstreams.read_up_to,
+         ReadUpTo(received.has_upstreams_read_ms_ago(),
+                  received.upstreams_read_ms_ago(), now));
+}
+
 bool AcceptsCallers(const member& other) {
   return other.last.ready() && !other.last.leaving() &&
          !other.last.caller_address().empty();
@@ -166,6 +230,7 @@
   if (received.wants_summary()) {
     stored.summary_requested_at = now;
   }
+  stored.store = internal::DecodeRecords(received, now);
   stored.last = std::move(received);
   stored.peer_address = peer_address;
   stored.last_seen_at = now;
@@ -193,12 +258,14 @@
     }
     stored.clock_offset =
         std::chrono::milliseconds(relayed.record().wall_ms()) + age - own_wall;
+    stored.store = internal::DecodeRecords(relayed.record(), now - age);
     internal::KeepOmittedFields(*relayed.mutable_record(), stored.last);
     stored.last = std::move(*relayed.mutable_record());
     stored.peer_address = relayed.peer_address();
   }
   internal::UpdateLastSeen(state, received, now);
   internal::UpdateRelayVersions(state, received);
+  internal::UpdateReportedReads(state, received, now);
   if (!received.has_work()) {
     return;
   }
@@ -238,6 +305,14 @@
   out.set_manifest_version(own.manifest_version());
   out.set_registry_version(own.registry_version());
   *out.mutable_work() = Encode(sum);
+  auto reads = internal::DecodeRecords(own, now);
+  for (const auto* other : LiveMembers(state, settings, now)) {
+    for (const auto feed : {store_feed::operator_rows, store_feed::upstreams}) {
+      auto& newest = RecordOf(reads, feed).read_up_to;
+      newest = std::max(newest, RecordOf(other->store, feed).read_up_to);
+    }
+  }
+  internal::EncodeReadTimes(reads, now, out);
   return out;
 }
 
@@ -247,6 +322,18 @@
   });
 }
 
+void EncodeReads(const feed_records& reads,
+                 const options& settings,
+                 mono_time now,
+                 wire::digest& out) {
+  internal::EncodeReadTimes(reads, now, out);
+  out.set_store_followed(IsFollowed(reads.upstreams) &&
+                         now - *reads.upstreams.read_up_to <=
+                             settings.apply_time);
+  out.set_store_followed_ms(
+      static_cast<std::uint32_t>(AnsweredFor(reads.upstreams).count()));
+}
+
 std::uint64_t IdentityOf(const wire::digest& entry) {
   return Hash64(entry.name() + '/' + std::to_string(entry.incarnation()));
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -30,10 +30,13 @@
   /** Entries that poll the store frequently, so that one may fail. */
   std::size_t store_watchers{2};
   /** Average number of entries besides the relays that try a store which does
-   * not answer any relay. */
+   * not answer any relay, and that go on following it if it answers them. */
   std::size_t store_trial_entries{4};
   /** Interval after which these entries are selected anew. */
   std::chrono::milliseconds store_trial_interval{1000};
+  /** Agreed time in which an entry applies a change that the store has
+   * acknowledged. */
+  std::chrono::milliseconds apply_time{2000};
   /** Delay before the first entries retry a store that did not answer. */
   std::chrono::milliseconds min_store_retry_delay{300};
   /** The same for all other entries, which learn from the first ones that the
@@ -85,6 +88,8 @@
   std::optional<mono_time> summary_requested_at;
   /** Its calendar clock minus ours, when its digest was received. */
   std::chrono::milliseconds clock_offset{};
+  /** What it has read from the store, by this entry's clock. */
+  feed_records store{};
 };
 
 /** @brief The work of all entries, as aggregated by a relay. */
@@ -98,6 +103,9 @@
   std::map<std::string, member> by_name;
   /** From the newest summary with work; unset before the first one. */
   std::optional<fleet_work> work;
+  /** Newest reads of the store that relays reported in summaries. They are not
+   * passed on: each hop would make them look newer by its transit time. */
+  feed_records reported_reads;
 };
 
 /**
@@ -126,6 +134,17 @@
                wall_time wall,
                mono_time now);
 
+/**
+ * @brief Adds to a digest what its sender has read from the store.
+ *
+ * The sender counts as one that follows the store until its last answer is
+ * older than options::apply_time, not until a call that waits has failed.
+ */
+void EncodeReads(const feed_records& reads,
+                 const options& settings,
+                 mono_time now,
+                 wire::digest& out);
+
 /** @brief Returns a hash that identifies an incarnation of an entry. */
 [[nodiscard]] std::uint64_t IdentityOf(const wire::digest& entry);
 
@@ -167,8 +186,8 @@
   std::uint32_t link_mbps{};
   /** Time since this process started. */
   std::chrono::milliseconds age{};
-  /** This entry follows the store itself, and the store answers. */
-  bool store_followed{};
+  /** What this entry has read from the store itself. */
+  feed_records store{};
 };
 
 /**
@@ -189,18 +208,40 @@
  * LivenessTimeout has passed. */
 void AddFollower(members& state, const std::string& name, mono_time now);
 
+/** @brief Returns up to which time any live member, or this entry, is known to
+ * have read a feed; unset if that is not known. */
+[[nodiscard]] std::optional<mono_time> NewestRead(const members& state,
+                                                  const options& settings,
+                                                  const self_status& self,
+                                                  store_feed feed,
+                                                  mono_time now);
+
 /**
- * @brief Tells whether this entry follows the platform's store itself instead
- * of copying from another entry.
+ * @brief Returns the age of the newest read of a feed at which an entry reads
+ * the feed itself.
+ *
+ * The rest of options::apply_time is for the call and for applying its answer.
+ * The limits of the entries differ, so that those that come first spare the
+ * others the call.
+ */
+[[nodiscard]] std::chrono::milliseconds ReadAgeLimit(const options& settings,
+                                                     std::string_view name);
+
+/**
+ * @brief Tells whether this entry follows a feed of the platform's store itself
+ * instead of copying from another entry.
  *
  * In a large fleet only the relays do, so that the load of the store does not
- * grow with the fleet. While the store answers no live member, a few changing
- * entries try it as well, in case it rejects only the relays. An entry that
- * gets an answer keeps following the store until a relay gets one.
+ * grow with the fleet. The store may reject some entries, among them all
+ * relays, and serve the others. Each entry therefore reads the feed itself when
+ * the newest read that it knows of reaches ReadAgeLimit. If that fails as well,
+ * a few changing entries keep trying. Of the entries that get an answer, a few
+ * follow the store until a relay, or enough entries that rank before them, do.
  */
 [[nodiscard]] bool FollowsStore(const members& state,
                                 const options& settings,
                                 const self_status& self,
+                                store_feed feed,
                                 mono_time now);
 
 /**
@@ -229,13 +270,25 @@
  * @brief Tells whether an entry that follows the store polls it frequently.
  *
  * Other entries that follow the store poll it rarely, to detect for themselves
- * when it is unavailable, and in between copy what the watchers have read.
+ * when it is unavailable, and in between copy what the watchers have read. They
+ * take the place of a watcher whose newest read of the feed is old, also while
+ * its call is still in progress.
  */
 [[nodiscard]] bool WatchesStore(const members& state,
                                 const options& settings,
                                 const self_status& self,
+                                store_feed feed,
                                 mono_time now);
 
+/**
+ * @brief Returns the longest wait of a watcher's call.
+ *
+ * What the call has shown reaches the other entries, over a relay, before the
+ * read that it renews is old.
+ */
+[[nodiscard]] std::chrono::milliseconds WatcherWait(const members& state,
+                                                    const options& settings);
+
 /**
  * @brief Tells whether the store answered another entry without a break for a
  * time in which it did not answer this one.
@@ -275,8 +328,9 @@
                                                    mono_time now);
 
 /**
- * @brief Aggregates the work of this entry and of all live members.
- * @param own This entry's digest.
+ * @brief Aggregates the work of this entry and of all live members, and the
+ * newest of their reads of the store.
+ * @param own This entry's digest, made at `now`.
  */
 [[nodiscard]] wire::summary AggregateWork(const members& state,
                                           const options& settings,
--- a/src/fleet/relays.cc
+++ b/src/fleet/relays.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -59,6 +60,50 @@
   return other->last.store_followed();
 }
 
+/** Age of the newest read of a feed, as fractions of the apply time: at the
+ * first, another entry watches the feed; between the others, entries that do
+ * not follow the feed read it. */
+constexpr double kWatchLimitFraction = 0.5;
+constexpr double kFirstReadLimitFraction = 0.55;
+constexpr double kLastReadLimitFraction = 0.7;
+
+/** Time for a call, and for delays of digests on their way. */
+constexpr std::chrono::milliseconds kSpreadMargin{300};
+constexpr std::chrono::milliseconds kMinWatcherWait{200};
+
+std::chrono::milliseconds FractionOf(std::chrono::milliseconds time,
+                                     double fraction) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time * fraction);
+}
+
+/** Returns up to which time another live entry has read a feed. */
+std::optional<mono_time> NewestReadOfOthers(const members& state,
+                                            const options& settings,
+                                            store_feed feed,
+                                            mono_time now) {
+  // A time that is unset compares less than any other.
+  auto newest = RecordOf(state.reported_reads, feed).read_up_to;
+  for (const auto* other : LiveMembers(state, settings, now)) {
+    newest = std::max(newest, RecordOf(other->store, feed).read_up_to);
+  }
+  return newest;
+}
+
+/** Tells whether an entry has read a feed too long ago to be its watcher. */
+bool IsReadOld(const feed_record& record,
+               const options& settings,
+               mono_time now) {
+  return !record.read_up_to ||
+         now - *record.read_up_to >
+             FractionOf(settings.apply_time, kWatchLimitFraction);
+}
+
+/** Returns a number from 0 to 1 that differs between names. */
+double SpreadOf(std::string_view name) {
+  constexpr std::uint64_t kSteps = 1000;
+  return static_cast<double>(MixHash(Hash64(name)) % kSteps) / kSteps;
+}
+
 /** Tells whether an entry is selected to try the store. Entries are selected
  * independently of each other, since their clocks differ. */
 bool IsStoreTrialDue(std::string_view name,
@@ -116,24 +161,53 @@
   }
 }
 
+std::optional<mono_time> NewestRead(const members& state,
+                                    const options& settings,
+                                    const self_status& self,
+                                    store_feed feed,
+                                    mono_time now) {
+  return std::max(RecordOf(self.store, feed).read_up_to,
+                  internal::NewestReadOfOthers(state, settings, feed, now));
+}
+
+std::chrono::milliseconds ReadAgeLimit(const options& settings,
+                                       std::string_view name) {
+  const auto fraction =
+      internal::kFirstReadLimitFraction +
+      (internal::kLastReadLimitFraction - internal::kFirstReadLimitFraction) *
+          internal::SpreadOf(name);
+  return internal::FractionOf(settings.apply_time, fraction);
+}
+
 bool FollowsStore(const members& state,
                   const options& settings,
                   const self_status& self,
+                  store_feed feed,
                   mono_time now) {
-  if (IsFullMesh(state, settings)) {
+  if (IsFullMesh(state, settings) ||
+      internal::IsRelay(state, settings, self, now)) {
     return true;
   }
-  if (internal::IsRelay(state, settings, self, now)) {
-    return true;
+  const auto newest = NewestRead(state, settings, self, feed, now);
+  const auto overdue_at =
+      newest.value_or(now - self.age) + ReadAgeLimit(settings, self.name);
+  const auto live = LiveMembers(state, settings, now);
+  const bool is_trial_due =
+      internal::IsStoreTrialDue(self.name, live.size() + 1, settings, now);
+  if (now >= overdue_at) {
+    return now - overdue_at < settings.store_trial_interval || is_trial_due;
   }
   const auto relays = Relays(state, settings, now);
-  if (std::any_of(relays.begin(), relays.end(), internal::IsStoreFollowed)) {
+  if (!self.store.upstreams.answered_since ||
+      std::any_of(relays.begin(), relays.end(), internal::IsStoreFollowed)) {
     return false;
   }
-  const auto live = LiveMembers(state, settings, now);
-  return self.store_followed ||
-         (std::none_of(live.begin(), live.end(), internal::IsStoreFollowed) &&
-          internal::IsStoreTrialDue(self.name, live.size() + 1, settings, now));
+  if (!IsFollowed(self.store.upstreams)) {
+    return is_trial_due;
+  }
+  return internal::CountRankedBefore(state, settings, self, now,
+                                     internal::IsStoreFollowed) <
+         settings.store_watchers;
 }
 
 bool IsFirstToRetryStore(const members& state,
@@ -160,21 +234,40 @@
 bool WatchesStore(const members& state,
                   const options& settings,
                   const self_status& self,
+                  store_feed feed,
                   mono_time now) {
+  const auto reads_in_time = [&](const member* other) {
+    return internal::IsStoreFollowed(other) &&
+           !internal::IsReadOld(RecordOf(other->store, feed), settings, now);
+  };
   return internal::CountRankedBefore(state, settings, self, now,
-                                     internal::IsStoreFollowed) <
-         settings.store_watchers;
+                                     reads_in_time) < settings.store_watchers;
+}
+
+std::chrono::milliseconds WatcherWait(const members& state,
+                                      const options& settings) {
+  const auto longest =
+      internal::FractionOf(settings.apply_time, internal::kWatchLimitFraction);
+  const auto spread_time = 2 * DigestInterval(state, settings);
+  return std::max(longest - spread_time - internal::kSpreadMargin,
+                  internal::kMinWatcherWait);
 }
 
 bool WasStoreReachableThroughout(const members& state,
                                  const options& settings,
                                  std::chrono::milliseconds time,
                                  mono_time now) {
+  const auto newest =
+      internal::NewestReadOfOthers(state, settings, store_feed::upstreams, now);
+  const auto age_limit = internal::FractionOf(settings.apply_time,
+                                              internal::kLastReadLimitFraction);
+  if (!newest || now - *newest > age_limit) {
+    return false;
+  }
   const auto live = LiveMembers(state, settings, now);
-  return std::any_of(live.begin(), live.end(), [time](const auto* other) {
-    const std::chrono::milliseconds followed_for(
-        other->last.store_followed_ms());
-    return other->last.store_followed() && followed_for > time;
+  return std::any_of(live.begin(), live.end(), [&](const auto* other) {
+    const auto& answered_since = other->store.upstreams.answered_since;
+    return answered_since && now - *answered_since > time;
   });
 }
 
--- a/test/fleet/fleet_test.cc
+++ b/test/fleet/fleet_test.cc
@@ -211,6 +211,7 @@
     Receive(name, "a");
     state.by_name[name].last.set_link_mbps(i % 2 == 0 ? 200 : 10);
     state.by_name[name].last.set_store_followed(true);
+    state.by_name[name].store.upstreams = {now, now - 1h};
   }
   std::set<std::string> relays;
   for (const auto* each : fleet::Relays(state, settings, now)) {
@@ -220,8 +221,9 @@
     auto others = state;
     others.by_name.erase(name);
     const fleet::self_status self_status{name, "a", 0, found.last.link_mbps()};
-    BOOST_TEST(fleet::FollowsStore(others, settings, self_status, now) ==
-               relays.contains(name));
+    BOOST_TEST(fleet::FollowsStore(others, settings, self_status,
+                                   fleet::store_feed::upstreams,
+                                   now) == relays.contains(name));
   }
 }
 
@@ -239,6 +241,39 @@
   }
 }
 
+// Guards against reads of the store that look newer with each entry that
+// passes them on.
+BOOST_AUTO_TEST_CASE(relay_reports_the_newest_read_of_the_entries_it_hears) {
+  fleet::feed_records reads;
+  reads.upstreams = {now - 700ms, now - 5s};
+  wire::digest reader;
+  reader.set_name("reader");
+  reader.set_sequence(1);
+  fleet::EncodeReads(reads, settings, now + settings.apply_time, reader);
+  BOOST_TEST(!reader.store_followed());
+  fleet::EncodeReads(reads, settings, now, reader);
+  BOOST_TEST(reader.store_followed());
+  BOOST_TEST(reader.store_followed_ms() == 4300U);
+  fleet::OnDigest(state, reader, "reader:2", wall, now);
+  now += 100ms;
+  // What the summary of another relay reported is not passed on.
+  state.reported_reads.operator_rows.read_up_to = now;
+  wire::digest own;
+  own.set_name("self");
+  own.set_upstreams_read_ms_ago(900);
+  const auto summary = fleet::AggregateWork(state, settings, own, now);
+  BOOST_TEST(summary.upstreams_read_ms_ago() == 800U);
+  BOOST_TEST(!summary.has_operator_rows_read_ms_ago());
+
+  fleet::members follower;
+  fleet::OnSummary(follower, summary, "follower", wall, now);
+  const auto newest =
+      fleet::NewestRead(follower, settings, {"follower", "a", 0},
+                        fleet::store_feed::upstreams, now);
+  BOOST_REQUIRE(newest.has_value());
+  BOOST_TEST((now - *newest == 800ms));
+}
+
 BOOST_AUTO_TEST_CASE(relay_aggregates_the_work_of_all_members) {
   fleet::work_table two;
   two.upstreams[7] = {2, 128, 640};
@@ -499,10 +534,25 @@
       Receive(NameOf(i), DataCentreOf(i));
     }
     for (const auto* each : fleet::Relays(state, settings, now)) {
-      state.by_name[each->last.name()].last.set_store_followed(true);
+      SetAnswered(each->last.name());
     }
   }
 
+  /** Notes that the store answers an entry, as of now. */
+  void SetAnswered(const std::string& name) {
+    auto& found = state.by_name[name];
+    found.last.set_store_followed(true);
+    found.store = ReadsOf(1h, 0ms);
+  }
+
+  /** Returns what an entry has read that the store has answered for a time, the
+   * last time some time ago. */
+  fleet::feed_records ReadsOf(std::chrono::milliseconds answered_for,
+                              std::chrono::milliseconds ago) const {
+    const fleet::feed_record record{now - ago, now - ago - answered_for};
+    return {record, record};
+  }
+
   static std::string NameOf(int number) {
     return "entry-" + std::to_string(number);
   }
@@ -511,25 +561,40 @@
     return std::string(1, static_cast<char>('a' + number % 3));
   }
 
-  using predicate = bool(const fleet::members&,
-                         const fleet::options&,
-                         const fleet::self_status&,
-                         mono_time);
-
   /** Evaluates a predicate at a member, whose view omits the member itself. */
-  bool Ask(predicate asked, int number) const {
+  template <typename Predicate>
+  bool Ask(Predicate asked, int number) const {
     auto others = state;
     others.by_name.erase(NameOf(number));
-    const auto name = NameOf(number);
-    const auto data_centre = DataCentreOf(number);
-    return asked(others, settings, {name, data_centre, 0}, now);
+    return asked(others, Self(number));
   }
 
-  bool FollowsStore(int number) const {
-    return Ask(fleet::FollowsStore, number);
+  bool FollowsStore(
+      int number,
+      fleet::store_feed feed = fleet::store_feed::upstreams) const {
+    return Ask(
+        [&](const auto& others, const auto& self) {
+          return fleet::FollowsStore(others, settings, self, feed, now);
+        },
+        number);
   }
 
-  bool Watches(int number) const { return Ask(fleet::WatchesStore, number); }
+  bool Watches(int number) const {
+    return Ask(
+        [&](const auto& others, const auto& self) {
+          return fleet::WatchesStore(others, settings, self,
+                                     fleet::store_feed::upstreams, now);
+        },
+        number);
+  }
+
+  bool IsFirstToRetry(int number) const {
+    return Ask(
+        [&](const auto& others, const auto& self) {
+          return fleet::IsFirstToRetryStore(others, settings, self, now);
+        },
+        number);
+  }
 
   int WatcherCount() const {
     int sum = 0;
@@ -573,9 +638,13 @@
     return fleet::SendsSummary(others, settings, Self(number), received, now);
   }
 
+  /** Takes the store from all entries, so long ago that each has tried it. */
   void LoseStore() {
     for (auto& [name, found] : state.by_name) {
       found.last.set_store_followed(false);
+      found.store = {};
+      found.store.operator_rows.read_up_to = now - 10s;
+      found.store.upstreams.read_up_to = now - 10s;
     }
   }
 
@@ -585,6 +654,13 @@
       Receive(NameOf(i), DataCentreOf(i));
     }
   }
+
+  /** Keeps all entries live, with what they have read. */
+  void Refresh() {
+    for (auto& [name, found] : state.by_name) {
+      found.last_seen_at = now;
+    }
+  }
 };
 
 BOOST_FIXTURE_TEST_SUITE(following_the_store, thirty_entry_fleet)
@@ -593,7 +669,8 @@
   while (state.by_name.size() >= settings.full_mesh_limit) {
     state.by_name.erase(state.by_name.begin());
   }
-  BOOST_TEST(fleet::FollowsStore(state, settings, {"self", "a", 0}, now));
+  BOOST_TEST(fleet::FollowsStore(state, settings, {"self", "a", 0},
+                                 fleet::store_feed::upstreams, now));
 }
 
 BOOST_AUTO_TEST_CASE(only_relays_of_a_large_fleet_follow_the_store) {
@@ -638,6 +715,51 @@
   BOOST_TEST(WatcherCount() == 3);
 }
 
+// Guards against watchers whose calls the store ignores and that keep their
+// place until the calls time out.
+BOOST_AUTO_TEST_CASE(watcher_whose_call_is_not_answered_is_replaced) {
+  for (int i = 0; i < 29; ++i) {
+    if (FollowsStore(i) && Watches(i)) {
+      state.by_name[NameOf(i)].store =
+          ReadsOf(1h, settings.apply_time / 2 + 1ms);
+      break;
+    }
+  }
+  BOOST_TEST(WatcherCount() == 3);
+}
+
+// Guards against entries that rely on relays whose calls the store ignores:
+// they still report that it answered the last one.
+BOOST_AUTO_TEST_CASE(entries_read_the_store_when_the_reads_of_relays_are_old) {
+  BOOST_TEST(FollowerCount() == 6);
+  now += settings.apply_time / 2;
+  Refresh();
+  BOOST_TEST(FollowerCount() == 6);
+  now += settings.apply_time / 4;
+  Refresh();
+  BOOST_TEST(FollowerCount() == 29);
+}
+
+// Guards against manifests that no entry reads while the relays read upstreams.
+BOOST_AUTO_TEST_CASE(feed_that_no_relay_reads_is_read_by_others) {
+  for (const auto* each : fleet::Relays(state, settings, now)) {
+    state.by_name[each->last.name()].store.operator_rows = {
+        now - settings.apply_time, std::nullopt};
+  }
+  for (int i = 0; i < 29; ++i) {
+    BOOST_TEST(FollowsStore(i, fleet::store_feed::operator_rows));
+    BOOST_TEST(FollowsStore(i) == IsRelay(i));
+  }
+}
+
+// Guards against fleets that all turn to the store at once when its relays are
+// back, or that read it although another entry just did.
+BOOST_AUTO_TEST_CASE(read_that_a_relay_reports_spares_others_the_call) {
+  LoseStore();
+  state.reported_reads.upstreams.read_up_to = now - settings.apply_time / 2;
+  BOOST_TEST(FollowerCount() == 6);
+}
+
 BOOST_AUTO_TEST_CASE(few_entries_at_a_time_try_store_that_answers_no_relay) {
   LoseStore();
   std::set<int> tried;
@@ -671,33 +793,41 @@
 BOOST_AUTO_TEST_CASE(entry_the_store_answers_follows_it_until_a_relay_does) {
   LoseStore();
   int number = 0;
-  while (fleet::FollowsStore(state, settings, Self(number), now)) {
+  while (fleet::FollowsStore(state, settings, Self(number),
+                             fleet::store_feed::upstreams, now)) {
     ++number;
   }
-  auto status = Self(number);
-  status.store_followed = true;
-  BOOST_TEST(fleet::FollowsStore(state, settings, status, now));
-  state.by_name[NameOf(number)].last.set_store_followed(true);
+  const auto follows = [&] {
+    auto status = Self(number);
+    status.store = ReadsOf(1s, 0ms);
+    return fleet::FollowsStore(state, settings, status,
+                               fleet::store_feed::upstreams, now);
+  };
+  BOOST_TEST(follows());
+  SetAnswered(NameOf(number));
   for (int i = 0; i < 29; ++i) {
     BOOST_TEST((i == number || IsRelay(i) || !FollowsStore(i)));
   }
   for (const auto* each : fleet::Relays(state, settings, now)) {
-    state.by_name[each->last.name()].last.set_store_followed(true);
+    SetAnswered(each->last.name());
   }
-  BOOST_TEST(!fleet::FollowsStore(state, settings, status, now));
+  BOOST_TEST(!follows());
 }
 
 BOOST_AUTO_TEST_CASE(store_that_answered_others_throughout_was_available) {
+  LoseStore();
   BOOST_TEST(!fleet::WasStoreReachableThroughout(state, settings, 5s, now));
-  auto& other = state.by_name[NameOf(3)].last;
-  other.set_store_followed(true);
-  other.set_store_followed_ms(4900);
+  auto& other = state.by_name[NameOf(3)].store;
+  other = ReadsOf(4900ms, 0ms);
   BOOST_TEST(!fleet::WasStoreReachableThroughout(state, settings, 5s, now));
-  other.set_store_followed_ms(5100);
+  other = ReadsOf(5100ms, 0ms);
   BOOST_TEST(fleet::WasStoreReachableThroughout(state, settings, 5s, now));
-  other.set_store_followed(false);
+  other.upstreams.answered_since.reset();
+  BOOST_TEST(!fleet::WasStoreReachableThroughout(state, settings, 5s, now));
+  // A call that is not answered does not show that the store is available.
+  other = ReadsOf(1h, settings.apply_time);
   BOOST_TEST(!fleet::WasStoreReachableThroughout(state, settings, 5s, now));
-  other.set_store_followed(true);
+  other = ReadsOf(5100ms, 0ms);
   now += fleet::LivenessTimeout(state, settings) + 1ms;
   BOOST_TEST(!fleet::WasStoreReachableThroughout(state, settings, 5s, now));
 }
@@ -705,7 +835,7 @@
 BOOST_AUTO_TEST_CASE(entry_that_was_cut_off_retries_the_store_in_time) {
   LoseStore();
   int last = 0;
-  while (Ask(fleet::IsFirstToRetryStore, last)) {
+  while (IsFirstToRetry(last)) {
     ++last;
   }
   const auto delay = [&](std::chrono::milliseconds limit) {
@@ -723,7 +853,7 @@
   LoseStore();
   int first = 0;
   for (int i = 0; i < 29; ++i) {
-    first += Ask(fleet::IsFirstToRetryStore, i) ? 1 : 0;
+    first += IsFirstToRetry(i) ? 1 : 0;
   }
   BOOST_TEST(first == 2);
 }
--- a/test/fleet/leaving_upstream_test.cc
+++ b/test/fleet/leaving_upstream_test.cc
@@ -17,6 +17,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using mimosadeck::mono_duration;
 using mimosadeck::mono_time;
 using mimosadeck::wall_time;
 using std::chrono::milliseconds;
@@ -38,6 +39,20 @@
 constexpr milliseconds kConnectTimeout{500};
 constexpr int kUpstreams = 12;
 
+/** @brief How the store turns single entries away while it serves others. */
+enum class store_refusal {
+  none,
+  /** Neither carries calls out nor responds. */
+  silent,
+  /** Responds with a refusal at once. */
+  busy,
+  /** Responses arrive after kResponseDelay. */
+  delayed,
+};
+
+/** Longer than the bounds of every site. */
+constexpr milliseconds kResponseDelay{5000};
+
 /** @brief How the store fails. */
 enum class store_fault { none, silent, busy, unheard, stale };
 
@@ -110,6 +125,9 @@
   mono_time began_at;
   bool is_listing{};
   milliseconds wait{};
+  /** The response is on its way. */
+  std::optional<std::pair<rows, std::uint64_t>> response;
+  mono_time arrives_at;
 };
 
 /** @brief An entry, which follows the store as the daemon does. */
@@ -121,15 +139,18 @@
   registry::upstream_set upstreams;
   availability::record_table availability;
   bool is_registry_read{};
-  bool store_followed{};
-  mono_time store_followed_since;
+  fleet::feed_records reads;
   mono_time started_at;
   std::optional<mono_time> store_lost_at;
   std::optional<std::uint64_t> cursor;
   std::uint64_t cursor_era{};
   bool last_call_failed{};
+  bool is_followed{};
+  bool is_first_read{};
   std::optional<store_call> call;
   mono_time next_call_at;
+  /** Begin of the pause between two calls. */
+  std::optional<mono_time> answered_at;
   mono_time next_check_at;
   std::optional<mono_time> others_ahead_since;
   std::uint64_t copy_failures{};
@@ -141,6 +162,7 @@
   mono_time paused_until;
   mono_time cut_off_until;
   mono_time store_cut_until;
+  store_refusal refusal{store_refusal::silent};
   mono_time last_fault_at;
 };
 
@@ -149,6 +171,8 @@
   std::size_t entries;
   milliseconds contact_time;
   milliseconds drain_time;
+  /** Calls that the store accepts per second, for all entries together. */
+  std::uint64_t reads_per_second{2000};
 };
 
 /**
@@ -173,12 +197,15 @@
   int started{};
   milliseconds longest{};
   std::uint64_t store_calls{};
+  std::uint64_t calls_in_second{};
+  std::uint64_t most_calls_in_second{};
 
   followed_store(site settings, bool has_faults, std::uint64_t seed)
       : settings(settings),
         has_faults(has_faults),
         random(seed),
         entries(settings.entries) {
+    fleet_options.apply_time = settings.drain_time;
     for (int i = 0; i < kUpstreams; ++i) {
       StartUpstream();
     }
@@ -348,17 +375,24 @@
             entry.copy_failures,
             100,
             std::chrono::duration_cast<milliseconds>(now - entry.started_at),
-            entry.store_followed};
+            entry.reads};
   }
 
   bool FollowsStore(const entry_model& entry) const {
-    return fleet::FollowsStore(entry.members, fleet_options, Self(entry), now);
+    return fleet::FollowsStore(entry.members, fleet_options, Self(entry),
+                               fleet::store_feed::upstreams, now);
   }
 
   fleet::following_pace PaceOf(const entry_model& entry) const {
-    return fleet::PaceOf(
-        fleet::WatchesStore(entry.members, fleet_options, Self(entry), now),
-        settings.contact_time);
+    auto pace = fleet::PaceOf(
+        fleet::WatchesStore(entry.members, fleet_options, Self(entry),
+                            fleet::store_feed::upstreams, now),
+        settings.contact_time,
+        fleet::WatcherWait(entry.members, fleet_options));
+    if (entry.is_first_read) {
+      pace.feed_wait = 0ms;
+    }
+    return pace;
   }
 
   void Learn(entry_model& entry) {
@@ -375,7 +409,7 @@
   void OnStoreFailure(entry_model& entry) {
     entry.call.reset();
     entry.last_call_failed = true;
-    entry.store_followed = false;
+    fleet::OnFeedLost(entry.reads.upstreams);
     if (!entry.store_lost_at) {
       entry.store_lost_at = now;
     }
@@ -393,8 +427,8 @@
 
   /** @brief Applies the store's answer to the call in progress. */
   void OnStoreAnswer(entry_model& entry) {
-    const bool was_listing = entry.call->is_listing;
-    entry.call.reset();
+    const auto call = *std::exchange(entry.call, std::nullopt);
+    const bool was_listing = call.is_listing;
     if (!was_listing &&
         (entry.cursor_era != store.era || *entry.cursor < store.oldest)) {
       entry.cursor.reset();
@@ -412,10 +446,12 @@
     }
     const bool is_stale =
         store.fault == store_fault::stale && !store.copies.empty();
-    const auto& table =
-        is_stale ? store.copies.front().second.first : store.current;
-    const auto version =
-        is_stale ? store.copies.front().second.second : store.version;
+    const auto& table = call.response ? call.response->first
+                        : is_stale    ? store.copies.front().second.first
+                                      : store.current;
+    const auto version = call.response ? call.response->second
+                         : is_stale    ? store.copies.front().second.second
+                                       : store.version;
     std::vector<registry::change> changes;
     for (const auto& [id, found] : table) {
       if (was_listing && !found.removed) {
@@ -435,21 +471,22 @@
     }
     entry.cursor = version;
     entry.cursor_era = store.era;
-    entry.last_call_failed = false;
-    if (!entry.store_followed) {
-      entry.store_followed_since = now;
-    }
-    entry.store_followed = true;
+    entry.last_call_failed = entry.is_first_read = false;
+    fleet::OnAnswer(entry.reads.upstreams,
+                    call.response ? call.arrives_at - kResponseDelay
+                    : was_listing ? call.began_at
+                                  : now);
     Learn(entry);
-    entry.next_call_at = now + PaceOf(entry).poll_interval;
+    entry.answered_at = now;
   }
 
   void BeginCall(entry_model& entry) {
     ++store_calls;
+    ++calls_in_second;
     const bool is_listing = !entry.cursor;
     const auto wait =
         is_listing || entry.last_call_failed ? 0ms : PaceOf(entry).feed_wait;
-    entry.call = store_call{now, is_listing, wait};
+    entry.call = store_call{now, is_listing, wait, std::nullopt, {}};
   }
 
   void ContinueCall(entry_model& entry) {
@@ -457,8 +494,10 @@
     if (elapsed < kRoundTrip) {
       return;
     }
+    const auto refusal =
+        now < entry.store_cut_until ? entry.refusal : store_refusal::none;
     const bool is_reachable = now >= entry.cut_off_until &&
-                              now >= entry.store_cut_until &&
+                              refusal != store_refusal::silent &&
                               store.fault != store_fault::silent;
     const auto timeout = entry.call->wait > 0ms
                              ? entry.call->wait + kFeedTimeoutMargin
@@ -469,15 +508,25 @@
       }
       return;
     }
-    if (store.fault == store_fault::busy) {
+    if (store.fault == store_fault::busy || refusal == store_refusal::busy ||
+        (entry.call->response && elapsed >= timeout)) {
       OnStoreFailure(entry);
       return;
     }
+    if (entry.call->response) {
+      if (now >= entry.call->arrives_at) {
+        OnStoreAnswer(entry);
+      }
+      return;
+    }
     const bool is_held =
         !entry.call->is_listing && elapsed < entry.call->wait &&
         entry.cursor_era == store.era && *entry.cursor >= store.oldest &&
         (store.fault == store_fault::unheard || *entry.cursor >= store.version);
-    if (!is_held) {
+    if (!is_held && refusal == store_refusal::delayed) {
+      entry.call->response = std::pair(store.current, store.version);
+      entry.call->arrives_at = now + kResponseDelay;
+    } else if (!is_held) {
       OnStoreAnswer(entry);
     }
   }
@@ -490,14 +539,38 @@
     if (now < entry.next_call_at) {
       return;
     }
+    if (entry.answered_at) {
+      const auto left = *entry.answered_at + PaceOf(entry).poll_interval - now;
+      if (left > 0ms) {
+        entry.next_call_at =
+            now + std::min<mono_duration>(left, fleet::kVersionCheckInterval);
+        return;
+      }
+      entry.answered_at.reset();
+    }
     if (!FollowsStore(entry)) {
-      entry.store_followed = false;
+      entry.is_followed = false;
+      fleet::OnFeedLost(entry.reads.upstreams);
+      EndOutageByOthers(entry);
       entry.next_call_at = now + fleet::kVersionCheckInterval;
       return;
     }
+    if (!std::exchange(entry.is_followed, true)) {
+      entry.is_first_read = true;
+    }
     BeginCall(entry);
   }
 
+  /** @brief Ends an outage if another entry has read the store since. */
+  void EndOutageByOthers(entry_model& entry) const {
+    const auto newest =
+        fleet::NewestRead(entry.members, fleet_options, Self(entry),
+                          fleet::store_feed::upstreams, now);
+    if (newest > entry.store_lost_at) {
+      entry.store_lost_at.reset();
+    }
+  }
+
   entry_model* Find(const std::string& name) {
     const auto found =
         std::find_if(entries.begin(), entries.end(),
@@ -509,14 +582,8 @@
     return now >= entry.cut_off_until && now >= entry.paused_until;
   }
 
-  milliseconds StoreFollowedFor(const entry_model& entry) const {
-    return entry.store_followed ? std::chrono::duration_cast<milliseconds>(
-                                      now - entry.store_followed_since)
-                                : 0ms;
-  }
-
   bool HasStoreAnsweredFor(const entry_model& entry, milliseconds time) const {
-    return StoreFollowedFor(entry) > time ||
+    return fleet::AnsweredFor(entry.reads.upstreams) > time ||
            fleet::WasStoreReachableThroughout(entry.members, fleet_options,
                                               time, now);
   }
@@ -576,9 +643,7 @@
     out.set_wants_summary(!fleet::IsFullMesh(entry.members, fleet_options));
     out.set_members_known(
         static_cast<std::uint32_t>(entry.members.by_name.size()));
-    out.set_store_followed(entry.store_followed);
-    out.set_store_followed_ms(
-        static_cast<std::uint32_t>(StoreFollowedFor(entry).count()));
+    fleet::EncodeReads(entry.reads, fleet_options, now, out);
     out.set_registry_version(
         registry::ToInteger(entry.upstreams.changed_version));
     for (const auto& incarnation : availability::Leaving(entry.availability)) {
@@ -652,6 +717,7 @@
     for (const auto* each : fleet::Relays(from.members, fleet_options, now)) {
       relays.insert(each->last.name());
     }
+    SendWork(from, digest);
     const bool is_probe_round = digest.sequence() % 7 == 0;
     for (auto& to : entries) {
       if (&to == &from) {
@@ -667,6 +733,23 @@
     }
   }
 
+  /** @brief Sends the summary of work, with the newest reads of the store. */
+  void SendWork(entry_model& from, const wire::digest& own) {
+    const auto followers =
+        fleet::Followers(from.members, fleet_options, from.data_centre, now);
+    if (followers.empty()) {
+      return;
+    }
+    const auto sum =
+        fleet::AggregateWork(from.members, fleet_options, own, now);
+    for (const auto* each : followers) {
+      auto* to = Find(each->last.name());
+      if (to && IsConnected(*to)) {
+        fleet::OnSummary(to->members, sum, to->name, Wall(), now);
+      }
+    }
+  }
+
   void SendRecords(entry_model& from) {
     if (now < from.next_record_at || !IsConnected(from)) {
       return;
@@ -805,12 +888,65 @@
         SendRecords(entry);
       }
       Judge();
+      if ((now - mono_time(1h)) % 1s == 0ms) {
+        most_calls_in_second =
+            std::max(most_calls_in_second, std::exchange(calls_in_second, 0));
+      }
+    }
+  }
+
+  /** @brief Makes the store turn all relays away, and other entries with a
+   * probability, for a time. */
+  void TurnRelaysAway(store_refusal how, double others, milliseconds time) {
+    auto& viewer = entries.front();
+    std::set<std::string> relays;
+    for (const auto* each : fleet::Relays(viewer.members, fleet_options, now)) {
+      relays.insert(each->last.name());
+    }
+    for (auto& each : entries) {
+      if (relays.contains(each.name) || Chance(others)) {
+        each.refusal = how;
+        each.store_cut_until = now + time;
+      }
     }
+    // No entry has itself among its members, so the viewer may be a relay.
+    viewer.refusal = how;
+    viewer.store_cut_until = now + time;
   }
 };
 
 constexpr site kSmallSite{8, 3000ms, 2000ms};
-constexpr site kGrownSite{78, 4000ms, 3000ms};
+constexpr site kGrownSite{78, 4000ms, 3000ms, 6000};
+
+/** @brief Turns relays away twice in a row, begun at a random time, while
+ * upstreams leave. */
+void CheckRefusedRelays(const site& settings,
+                        store_refusal how,
+                        double others,
+                        std::uint64_t seeds) {
+  milliseconds longest{};
+  std::uint64_t most_calls = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    followed_store model(settings, false, seed);
+    model.Run(12s + model.Between(0ms, 4s) / kStep * kStep);
+    model.most_calls_in_second = 0;
+    for (int i = 0; i < 2; ++i) {
+      model.TurnRelaysAway(how, others, 9s);
+      model.Run(9s + model.Between(0ms, 3s) / kStep * kStep);
+    }
+    model.Run(4s);
+    longest = std::max(longest, model.longest);
+    most_calls = std::max(most_calls, model.most_calls_in_second);
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      BOOST_TEST(model.overdue.size() == 0U);
+    }
+  }
+  // The manifest's feed needs as many calls as that of the upstreams.
+  BOOST_TEST(2 * most_calls <= settings.reads_per_second);
+  BOOST_TEST_MESSAGE(settings.entries << " entries: longest " << longest.count()
+                                      << " ms, " << most_calls
+                                      << " calls a second at most");
+}
 
 void CheckSite(const site& settings,
                bool has_faults,
@@ -846,6 +982,29 @@
   CheckSite(kGrownSite, true, 2, 30s);
 }
 
+// Guards against fleets in which only the relays read the store and the others
+// trust them while the store answers none of them.
+BOOST_AUTO_TEST_CASE(store_silent_to_all_relays_is_read_by_others_in_time) {
+  CheckRefusedRelays({18, 4000ms, 3000ms, 6000}, store_refusal::silent, 0, 6);
+  CheckRefusedRelays({24, 3000ms, 2000ms}, store_refusal::silent, 0.2, 4);
+  CheckRefusedRelays(kGrownSite, store_refusal::silent, 0.3, 1);
+}
+
+// The same for relays whose calls are refused, or answered too late to be of
+// use.
+BOOST_AUTO_TEST_CASE(store_of_no_use_to_relays_is_read_by_others_in_time) {
+  for (const auto how : {store_refusal::busy, store_refusal::delayed}) {
+    CheckRefusedRelays({18, 4000ms, 3000ms, 6000}, how, 0, 4);
+    CheckRefusedRelays({40, 4000ms, 3000ms, 6000}, how, 0.3, 1);
+  }
+}
+
+// The same in a fleet so large that its digests are rarer.
+BOOST_AUTO_TEST_CASE(store_silent_to_relays_of_many_is_read_in_time) {
+  CheckRefusedRelays({150, 5000ms, 4000ms, 16000}, store_refusal::silent, 0.3,
+                     1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/platform/client_test.cc
+++ b/test/platform/client_test.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "base/time.h"
 #include "platform/client.h"
 #include "platform/store_stand_in.h"
 
@@ -175,6 +176,39 @@
   BOOST_TEST(!HasManifest(result));
 }
 
+// Guards against answers that make a copy look as recent as their arrival,
+// although they show an earlier state of the store.
+BOOST_AUTO_TEST_CASE(answer_is_dated_by_the_clock_of_the_store) {
+  store.Put("servers", "a", kEntry);
+  const auto listed_at = mimosadeck::SuspendAwareNow();
+  const auto listing = Await(client.NextUpstreams(kWait));
+  BOOST_REQUIRE(Is<platform::upstream_listing>(listing));
+  const auto first = std::get<platform::upstream_listing>(listing).read_up_to;
+  BOOST_TEST((first >= listed_at && first < listed_at + kWait));
+
+  const auto read = [this] {
+    const auto result = Await(client.NextUpstreams(kWait));
+    BOOST_REQUIRE(Is<platform::upstream_changes>(result));
+    return std::get<platform::upstream_changes>(result).read_up_to;
+  };
+  const auto waited_at = mimosadeck::SuspendAwareNow();
+  const auto second = read();
+  BOOST_TEST((second >= waited_at + kWait));
+  BOOST_TEST((second <= mimosadeck::SuspendAwareNow()));
+
+  // A response that states an earlier time was delayed; the fastest of the
+  // others shows by how much, but for its own transit time.
+  static_cast<void>(read());
+  store.clock_offset -= kWait;
+  const auto third = read();
+  BOOST_TEST((third <= mimosadeck::SuspendAwareNow() - kWait / 2));
+  // It was not made before the call.
+  store.clock_offset -= 30min;
+  const auto called_at = mimosadeck::SuspendAwareNow();
+  const auto fourth = read();
+  BOOST_TEST((fourth >= called_at && fourth < called_at + kWait));
+}
+
 // Guards against taking discarded changes for an answer without changes, after
 // which an entry believes to be current and waits before it lists.
 BOOST_AUTO_TEST_CASE(discarded_history_leads_to_a_listing_in_the_same_call) {
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -426,6 +426,7 @@
               "control":"10.0.0.1:3","directory":"10.0.0.1:4"},
     "port_range":[7340,7355],"seeds":["10.0.0.2:3"],
     "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"lease_ms":3000,
+              "config_apply_ms":4000,"drain_ms":3000,
               "cold_overrun":1.25,"cold_slack":3},
     "provider":{"address":"10.0.0.9:80"},
     "cloud_api":{"address":"10.0.0.8:80","duties":["usage"]}})");
@@ -433,6 +434,7 @@
   BOOST_REQUIRE(machine);
   BOOST_TEST(machine->peer_port == 7340);
   BOOST_TEST((machine->bounds.stop_grace == 8s));
+  BOOST_TEST((machine->bounds.apply_time == 3s));
   BOOST_TEST(machine->bounds.cold_rate_factor == 1.25);
   BOOST_TEST(machine->bounds.cold_extra_requests == 3);
   BOOST_TEST(machine->duties.size() == 1);
--- a/test/platform/decoder_property_test.cc
+++ b/test/platform/decoder_property_test.cc
@@ -56,6 +56,7 @@
   "zone":"a","listen":{"front":"10.0.0.2:1","ready":"10.0.0.2:2",
   "directory":"10.0.0.2:3","control":"10.0.0.2:4"},"port_range":[5,9],
   "seeds":["10.0.0.3:5"],"bounds":{"contact_ms":5000,"grace_s":10,
+  "config_apply_ms":4000,"drain_ms":3000,
   "retry_budget_ratio":0.1,"budget_window_s":10,"lease_ms":5000},
   "limits":{"memory_mb":512,"link_mbps":100},
   "provider":{"address":"10.0.0.9:1"},
@@ -217,6 +218,7 @@
     if (const auto* found = std::get_if<settings>(&read)) {
       const auto& bounds = found->bounds;
       RC_ASSERT(IsTime(bounds.contact_recovery_time));
+      RC_ASSERT(IsTime(bounds.apply_time));
       RC_ASSERT(IsTime(bounds.stop_grace));
       RC_ASSERT(IsTime(bounds.lease));
       RC_ASSERT(std::isfinite(bounds.retry_budget_ratio));
--- a/test/platform/store_stand_in.cc
+++ b/test/platform/store_stand_in.cc
@@ -214,6 +214,13 @@
   return JsonResponse(report.accepted ? 200 : 409, {});
 }
 
+std::int64_t store_stand_in::ClockMs() const {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now +
+                                                               clock_offset)
+      .count();
+}
+
 asio::awaitable<net::http_response> store_stand_in::Feed(std::string target) {
   const auto table = QueryParameter(target, "table");
   const auto since = std::stoull(QueryParameter(target, "since_rev"));
@@ -238,7 +245,8 @@
       }
     }
     if (!rows.empty() || remaining <= std::chrono::milliseconds(0)) {
-      co_return JsonResponse(200, {{"rows", rows}, {"ver", version_}});
+      co_return JsonResponse(
+          200, {{"rows", rows}, {"ver", version_}, {"now_ms", ClockMs()}});
     }
     co_await Wait(kFeedPollInterval);
     remaining -= kFeedPollInterval;
--- a/test/platform/store_stand_in.h
+++ b/test/platform/store_stand_in.h
@@ -1,6 +1,7 @@
 #ifndef TEST_PLATFORM_STORE_STAND_IN_H_
 #define TEST_PLATFORM_STORE_STAND_IN_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -83,6 +84,8 @@
    */
   void ReturnFromCopy();
 
+  /** Added to the steady clock that responses state. */
+  std::chrono::milliseconds clock_offset{std::chrono::hours(1)};
   /** Fault shown until it is set to another value. */
   store_fault fault{store_fault::none};
   /** Era that responses state instead of the real one. */
@@ -111,6 +114,7 @@
   net::http_response Get(const std::string& target);
   net::http_response Report(const net::http_request& request);
   boost::asio::awaitable<net::http_response> Feed(std::string target);
+  [[nodiscard]] std::int64_t ClockMs() const;
 
   std::uint64_t version_{10};
   /** Oldest version since which changes can be read. */
