Report a reset while the request is written as a broken response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: http_call writes the request while it reads the response. The system reports a connection's error once. The pending write got it and dropped it; the read then got the end of the stream, which ends a response without a length.

Change: the error of the write is kept. A response that ends with its connection is broken if that error is anything but broken_pipe, which says that the server had ended its stream before. Responses with a length or chunks show their end themselves and are read as before.

--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -59,6 +59,8 @@
 struct outgoing {
   request_message message;
   bool written{};
+  /** Why writing ended early, if it did. */
+  error_code failure;
 };
 
 auto Redirect(error_code& failure) {
@@ -249,10 +251,28 @@
   /** Writes the request concurrently with reading the response, since a server
    * may respond before it has read the body. */
   static void Write(const std::shared_ptr<impl>& self) {
-    http::async_write(
-        self->connection->stream, self->sending->message,
-        [connection = self->connection, sending = self->sending](
-            error_code failure, std::size_t) { sending->written = !failure; });
+    http::async_write(self->connection->stream, self->sending->message,
+                      [connection = self->connection, sending = self->sending](
+                          error_code failure, std::size_t) {
+                        sending->written = !failure;
+                        sending->failure = failure;
+                      });
+  }
+
+  /**
+   * Returns the error that ended the connection, if the end of the connection
+   * is the end of the response and the server did not end its stream before.
+   *
+   * The system reports an error of a connection once. If the write of the
+   * request gets it, the read gets the end of the stream, as after a whole
+   * response. The handler of that write has run by then, since its system call
+   * came first. `broken_pipe` means that the server ended its stream before the
+   * error.
+   */
+  [[nodiscard]] error_code ErrorInsteadOfEnd() const {
+    const bool is_broken =
+        parser->need_eof() && sending->failure != asio::error::broken_pipe;
+    return is_broken ? sending->failure : error_code{};
   }
 
   asio::awaitable<std::optional<call_failure>> ReadHead() {
@@ -397,6 +417,9 @@
       co_return bytes;
     }
   }
+  if (const auto failure = self->ErrorInsteadOfEnd()) {
+    co_return internal::Failure(call_progress::sent, failure);
+  }
   self->Finish();
   co_return std::string{};
 }
--- /dev/null
+++ b/test/net/broken_response_test.cc
@@ -0,0 +1,317 @@
+#define BOOST_TEST_MODULE broken_response
+#include <boost/test/included/unit_test.hpp>
+
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+#include "net/net.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+namespace net = mimosadeck::net;
+using asio::ip::tcp;
+
+constexpr auto kTimeout = 2s;
+/** More than the system buffers between a client and a server that does not
+ * read. */
+constexpr std::size_t kUploadBytes = std::size_t{16} << 20U;
+
+/** @brief What the server does with its connection after its bytes. */
+enum class ending {
+  keep,
+  close,
+  reset,
+  /** Ends its side, then reads the rest of the request. */
+  shut_down,
+  /** Ends its side, then resets the connection. */
+  shut_down_and_reset,
+};
+
+/** @brief Bytes that the server writes after the head of a request. */
+struct scripted_response {
+  std::string bytes;
+  ending end{ending::keep};
+  std::chrono::milliseconds pause_before_end{};
+};
+
+/** @brief Functions of net that read a response. */
+enum class reader { call, kept_client, once, stream };
+
+constexpr std::array kReaders{reader::call, reader::kept_client, reader::once,
+                              reader::stream};
+
+std::ostream& operator<<(std::ostream& out, reader which) {
+  constexpr std::array kNames{"http_call", "http_client", "CallOnce",
+                              "OpenStream"};
+  return out << kNames[static_cast<std::size_t>(which)];
+}
+
+auto Redirect(boost::system::error_code& failure) {
+  return asio::redirect_error(asio::use_awaitable, failure);
+}
+
+/** @brief Server that responds with scripted bytes, one script a request. */
+struct scripted_server {
+  asio::io_context io{1};
+  tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+  net::connection_cache cache{4};
+  std::optional<net::http_client> client{std::in_place};
+  std::vector<scripted_response> scripts;
+  std::size_t next{};
+  std::size_t upload_bytes{};
+
+  scripted_server() { asio::co_spawn(io, Accept(), asio::detached); }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(io, Serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(tcp::socket socket) {
+    boost::system::error_code failure;
+    while (!failure && next < scripts.size()) {
+      std::string received;
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(received),
+                                      "\r\n\r\n", Redirect(failure));
+      if (failure) {
+        co_return;
+      }
+      const auto script = scripts[next++];
+      co_await asio::async_write(socket, asio::buffer(script.bytes),
+                                 Redirect(failure));
+      asio::steady_timer timer(io, script.pause_before_end);
+      co_await timer.async_wait(Redirect(failure));
+      const bool ends_side = script.end == ending::shut_down ||
+                             script.end == ending::shut_down_and_reset;
+      if (ends_side) {
+        socket.shutdown(tcp::socket::shutdown_send, failure);
+      }
+      if (script.end == ending::shut_down) {
+        std::string rest;
+        co_await asio::async_read(socket, asio::dynamic_buffer(rest),
+                                  Redirect(failure));
+        co_return;
+      }
+      if (script.end == ending::reset ||
+          script.end == ending::shut_down_and_reset) {
+        socket.set_option(tcp::socket::linger(true, 0));
+      }
+      if (script.end != ending::keep) {
+        socket.close(failure);
+        co_return;
+      }
+    }
+    // Keeps the connection open until the client closes it.
+    std::string rest;
+    co_await asio::async_read(socket, asio::dynamic_buffer(rest),
+                              Redirect(failure));
+  }
+
+  net::http_request Request() const {
+    net::http_request out;
+    out.method = "POST";
+    out.body = std::string(upload_bytes, 'b');
+    return out;
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  asio::awaitable<net::call_result> ReadByCall() {
+    net::http_call call(cache, io.get_executor());
+    net::call_options options;
+    options.server = options.address = Address();
+    options.deadline = std::chrono::steady_clock::now() + kTimeout;
+    options.max_idle_time = kTimeout;
+    auto failed = co_await call.Send(Request(), std::move(options));
+    if (failed) {
+      co_return *failed;
+    }
+    auto body = co_await call.ReadBody(kUploadBytes);
+    if (const auto* broken = std::get_if<net::call_failure>(&body)) {
+      co_return *broken;
+    }
+    co_return net::http_response{call.Status(), call.Fields(),
+                                 std::get<std::string>(body)};
+  }
+
+  asio::awaitable<net::call_result> ReadByStream(net::call_limits limits) {
+    auto opened = co_await net::OpenStream(Address(), Request(), limits);
+    if (const auto* broken = std::get_if<net::call_failure>(&opened)) {
+      co_return *broken;
+    }
+    const auto& stream = std::get<std::shared_ptr<net::http_stream>>(opened);
+    net::http_response out{stream->Status(), stream->Fields(), {}};
+    while (true) {
+      auto piece = co_await stream->ReadPiece();
+      if (const auto* broken = std::get_if<net::call_failure>(&piece)) {
+        co_return *broken;
+      }
+      const auto& bytes = std::get<std::string>(piece);
+      if (bytes.empty()) {
+        co_return out;
+      }
+      out.body += bytes;
+    }
+  }
+
+  asio::awaitable<net::call_result> Read(reader which) {
+    const net::call_limits limits{kTimeout, kTimeout};
+    switch (which) {
+      case reader::call:
+        return ReadByCall();
+      case reader::kept_client:
+        return client->Call(Address(), Request(), limits);
+      case reader::once:
+        return net::CallOnce(Address(), Request(), limits);
+      case reader::stream:
+        break;
+    }
+    return ReadByStream(limits);
+  }
+
+  /** @brief Sends the next request. */
+  net::call_result Send(reader which) {
+    net::call_result out;
+    asio::co_spawn(io, Read(which),
+                   [&](std::exception_ptr thrown, net::call_result result) {
+                     BOOST_REQUIRE(!thrown);
+                     out = std::move(result);
+                     io.stop();
+                   });
+    io.restart();
+    io.run();
+    return out;
+  }
+
+  /** @brief Sends a request to which the server responds with a script, on a
+   * new connection or on one that an earlier response left open. */
+  net::call_result Play(reader which,
+                        bool is_reused,
+                        scripted_response response) {
+    cache.Forget(Address());
+    client.emplace();
+    next = 0;
+    scripts = {std::move(response)};
+    if (is_reused) {
+      const auto upload = std::exchange(upload_bytes, 0);
+      scripts.insert(scripts.begin(),
+                     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+      BOOST_REQUIRE(std::holds_alternative<net::http_response>(Send(which)));
+      upload_bytes = upload;
+    }
+    return Send(which);
+  }
+};
+
+/** @brief Returns true if a call failed, not by timeout, with a request that
+ * may have been executed. */
+bool IsBroken(const net::call_result& result) {
+  const auto* failed = std::get_if<net::call_failure>(&result);
+  return failed && !failed->timed_out &&
+         failed->progress == net::call_progress::sent;
+}
+
+bool HasBody(const net::call_result& result, const std::string& body) {
+  const auto* response = std::get_if<net::http_response>(&result);
+  return response && response->body == body;
+}
+
+/** @brief Fixture with requests whose body the server does not read before it
+ * responds. */
+struct long_upload : scripted_server {
+  long_upload() { upload_bytes = kUploadBytes; }
+};
+
+BOOST_AUTO_TEST_SUITE(responses_during_an_upload)
+
+// Guards against part of a body that passes for all of it: the response has no
+// length, and the connection is reset while the request is being written. The
+// system reports the reset once, to the write or to the read.
+BOOST_DATA_TEST_CASE_F(long_upload,
+                       response_without_length_that_is_reset_is_incomplete,
+                       data::make(kReaders),
+                       which) {
+  for (const auto pause : {0ms, 20ms}) {
+    for (const bool is_reused : {false, true}) {
+      for (const auto* body : {"part", ""}) {
+        BOOST_TEST_CONTEXT("pause " << pause.count() << " reused " << is_reused
+                                    << " body '" << body << "'") {
+          BOOST_TEST(
+              IsBroken(Play(which, is_reused,
+                            {"HTTP/1.1 200 OK\r\n\r\n" + std::string(body),
+                             ending::reset, pause})));
+        }
+      }
+    }
+  }
+}
+
+BOOST_DATA_TEST_CASE_F(long_upload,
+                       response_that_ends_before_its_framing_is_incomplete,
+                       data::make(kReaders),
+                       which) {
+  for (const auto* head : {"Content-Length: 9\r\n\r\npart",
+                           "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
+    for (const auto end : {ending::reset, ending::shut_down}) {
+      BOOST_TEST(IsBroken(Play(
+          which, false, {"HTTP/1.1 200 OK\r\n" + std::string(head), end})));
+    }
+  }
+}
+
+// Guards against a sound early response that is taken for a broken one: the
+// server ends its side after the whole body and reads the rest of the request.
+BOOST_DATA_TEST_CASE_F(long_upload,
+                       response_that_ends_before_its_request_is_complete,
+                       data::make(kReaders),
+                       which) {
+  for (const auto pause : {0ms, 20ms}) {
+    for (const bool is_reused : {false, true}) {
+      BOOST_TEST(HasBody(
+          Play(which, is_reused,
+               {"HTTP/1.1 200 OK\r\n\r\nall", ending::shut_down, pause}),
+          "all"));
+    }
+  }
+}
+
+// As above, but the server reads nothing of the request after its end. Other
+// readers write the whole request first, which fails.
+BOOST_FIXTURE_TEST_CASE(response_that_ended_before_a_reset_is_complete,
+                        long_upload) {
+  for (const auto pause : {0ms, 20ms}) {
+    for (const bool is_reused : {false, true}) {
+      BOOST_TEST(HasBody(Play(reader::call, is_reused,
+                              {"HTTP/1.1 200 OK\r\n\r\nall",
+                               ending::shut_down_and_reset, pause}),
+                         "all"));
+      BOOST_TEST(
+          HasBody(Play(reader::call, is_reused,
+                       {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall",
+                        ending::reset, pause}),
+                  "all"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/test/platform/raw_upstream.cc
+++ b/test/platform/raw_upstream.cc
@@ -60,6 +60,11 @@
     if (failure) {
       break;
     }
+    if (next.resets) {
+      socket.set_option(tcp::socket::linger(true, 0));
+      socket.close();
+      co_return asio::error::connection_reset;
+    }
   }
   co_return failure;
 }
--- a/test/platform/raw_upstream.h
+++ b/test/platform/raw_upstream.h
@@ -16,6 +16,8 @@
 struct raw_write {
   std::string bytes;
   std::chrono::milliseconds pause{0};
+  /** Resets the connection after the bytes. */
+  bool resets{};
 };
 
 using raw_script = std::vector<raw_write>;
--- a/test/platform/upstream_stand_in.cc
+++ b/test/platform/upstream_stand_in.cc
@@ -25,6 +25,7 @@
 constexpr std::size_t kMaxEndlessBytes = 64U << 20U;
 /** Longer than the timeout of any request. */
 constexpr std::chrono::milliseconds kVanishTime{20000};
+constexpr std::uint64_t kBodyLimitBytes = std::uint64_t{16} << 20U;
 constexpr int kWrongUpstream = 421;
 
 bool IsStream(scripted_answer answer) {
@@ -67,8 +68,10 @@
 }
 
 void upstream_stand_in::Listen() {
+  net::server_options options;
+  options.limits.body_limit_bytes = kBodyLimitBytes;
   server_ = std::make_unique<net::http_server>(
-      std::vector<asio::io_context*>{&io_}, address_, net::server_options{},
+      std::vector<asio::io_context*>{&io_}, address_, options,
       [this](auto request, auto& exchange) {
         return Answer(std::move(request), exchange);
       });
