Take only responses with a final status for answers

What callers saw: an upstream in trouble answered with the status 000. On the platform's interface the entry skipped it like an interim response: callers waited until their time limit and got 504, and whatever followed its head, its body included, was read as the answer. With http_client, CallOnce and OpenStream, which the product's own interface uses, the response with status 0 was the answer; a mimosadeckctl command with it had succeeded.

Cause: no reader checked the status. http_call took every status below 200 for an interim response, 101 too; the others took every response, interim ones too, for the final one. Statuses above 599 do not exist either.

Change: all readers get the head from one function, ReadFinalHead. It skips up to eight interim responses (1xx without 101) and fails with bad_status for a status that is neither interim nor within 200 to 599. 101 ends the use of HTTP on a connection, which no request of ours asks for.

A broken response is an attempt that broke off, as before: a request that must not run twice gets 502 and does not run again.

Handled already, with a test that passed before: a mimosadeckctl command whose response is reset has an unknown outcome.

--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -12,6 +12,7 @@
 #include "net/address.h"
 #include "net/http_fields.h"
 #include "net/read_buffer.h"
+#include "net/response_head.h"
 #include "net/socket_options.h"
 
 namespace mimosadeck::net {
@@ -29,9 +30,6 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
 constexpr std::uint32_t kHeadLimitBytes = 64U * 1024U;
-/** Interim responses (1xx) allowed before the final one; servers send one or
- * two. */
-constexpr int kMaxInterimResponses = 8;
 /** Bytes of a response that are discarded to reach the next one; opening a new
  * connection is cheaper than reading more. */
 constexpr std::size_t kMaxSkippedBytes = 1U << 20U;
@@ -276,24 +274,14 @@
   }
 
   asio::awaitable<std::optional<call_failure>> ReadHead() {
-    int heads = 0;
-    do {
-      if (heads++ > internal::kMaxInterimResponses) {
-        Abort();
-        co_return call_failure{call_progress::sent, false,
-                               "too many interim responses"};
-      }
-      parser.emplace();
-      parser->body_limit(boost::none);
-      parser->skip(sending->message.method() == http::verb::head);
-      parser->header_limit(internal::kHeadLimitBytes);
-      error_code failure;
-      co_await http::async_read_header(connection->stream, connection->buffer,
-                                       *parser, internal::Redirect(failure));
-      if (failure || is_closed) {
-        co_return internal::Failure(call_progress::sent, failure);
-      }
-    } while (parser->get().result_int() < 200);
+    internal::response_limits limits;
+    limits.head_bytes = internal::kHeadLimitBytes;
+    limits.has_no_body = sending->message.method() == http::verb::head;
+    const auto failure = co_await internal::ReadFinalHead(
+        connection->stream, connection->buffer, parser, limits);
+    if (failure || is_closed) {
+      co_return internal::Failure(call_progress::sent, failure);
+    }
     fields = internal::FieldsOf(parser->get());
     is_first_on_connection = connection->responses++ == 0;
     co_return std::nullopt;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 
 #include "net/address.h"
 #include "net/read_buffer.h"
+#include "net/response_head.h"
 
 namespace mimosadeck::net {
 
@@ -24,6 +25,7 @@
 
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kPieceBytes = 16U * 1024U;
+constexpr std::uint32_t kHeadLimitBytes = 8U * 1024U;
 
 auto Redirect(error_code& failure) {
   return asio::redirect_error(asio::use_awaitable, failure);
@@ -116,16 +118,21 @@
                                   limits.inactivity_timeout)) {
     co_return *failed;
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(limits.body_bytes);
-  error_code failure;
+  std::optional<http::response_parser<http::string_body>> parser;
+  response_limits sizes;
+  sizes.head_bytes = kHeadLimitBytes;
+  sizes.body_bytes = limits.body_bytes;
   connection.stream.expires_after(limits.inactivity_timeout);
-  co_await http::async_read(connection.stream, connection.buffer, parser,
-                            Redirect(failure));
+  auto failure = co_await ReadFinalHead(connection.stream, connection.buffer,
+                                        parser, sizes);
+  if (!failure) {
+    co_await http::async_read(connection.stream, connection.buffer, *parser,
+                              Redirect(failure));
+  }
   if (failure) {
     co_return Failure(call_progress::sent, failure);
   }
-  auto response = parser.release();
+  auto response = parser->release();
   // Bytes after the response belong to no request of this client.
   connection.reusable = response.keep_alive() && connection.buffer.size() == 0;
   co_return http_response{static_cast<int>(response.result_int()),
@@ -211,13 +218,11 @@
                                             limits.inactivity_timeout)) {
     co_return *failed;
   }
-  impl.parser.emplace();
-  impl.parser->body_limit(boost::none);
-  error_code failure;
+  internal::response_limits sizes;
+  sizes.head_bytes = internal::kHeadLimitBytes;
   impl.stream.expires_after(limits.inactivity_timeout);
-  co_await http::async_read_header(impl.stream, impl.buffer, *impl.parser,
-                                   internal::Redirect(failure));
-  if (failure) {
+  if (const auto failure = co_await internal::ReadFinalHead(
+          impl.stream, impl.buffer, impl.parser, sizes)) {
     co_return internal::Failure(call_progress::sent, failure);
   }
   impl.fields = internal::FieldsOf(impl.parser->get());
--- a/test/net/broken_response_test.cc
+++ b/test/net/broken_response_test.cc
@@ -314,4 +314,66 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(statuses)
+
+std::string Response(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         " Status\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/** Statuses that no response has, and 101, which no request of ours asks for.
+ */
+const std::vector<std::string> kInvalidStatuses{"000", "001", "099",
+                                                "101", "600", "999"};
+
+// Guards against a response with a status that does not exist which is passed
+// on as an answer, or skipped like an interim response, so that its body or
+// what follows it becomes the answer.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       response_with_an_invalid_status_is_broken,
+                       data::make(kReaders) * data::make(kInvalidStatuses),
+                       which,
+                       status) {
+  const auto whole = Response("200", "other");
+  for (const bool is_reused : {false, true}) {
+    for (const auto& bytes :
+         {Response(status, ""), Response(status, "ok"), Response(status, whole),
+          Response(status, "") + whole,
+          "HTTP/1.1 " + status + " Status\r\n\r\n" + whole}) {
+      BOOST_TEST_CONTEXT("reused " << is_reused << " response " << bytes) {
+        BOOST_TEST(IsBroken(Play(which, is_reused, {bytes})));
+      }
+    }
+  }
+}
+
+// Guards against an interim response that passes for the answer.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       interim_responses_are_skipped,
+                       data::make(kReaders),
+                       which) {
+  for (const bool is_reused : {false, true}) {
+    for (const auto* status : {"100", "102", "103", "199"}) {
+      const auto interim =
+          "HTTP/1.1 " + std::string(status) + " Status\r\n\r\n";
+      BOOST_TEST(HasBody(
+          Play(which, is_reused, {interim + interim + Response("200", "all")}),
+          "all"));
+      BOOST_TEST(IsBroken(Play(which, is_reused, {interim, ending::close})));
+    }
+  }
+}
+
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       response_with_a_valid_status_is_read,
+                       data::make(kReaders),
+                       which) {
+  for (const auto* status : {"200", "299", "300", "404", "500", "599"}) {
+    BOOST_TEST(HasBody(Play(which, false, {Response(status, "all")}), "all"));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/system/broken_answer_system_test.cc
+++ b/test/system/broken_answer_system_test.cc
@@ -33,7 +33,7 @@
 struct broken_answer {
   const char* name;
   std::size_t upload_bytes{kShortUpload};
-  std::string status_line{"HTTP/1.1 200 OK\r\n"};
+  std::string status{"200"};
   /** Fields besides those that a sound answer without a length has. */
   std::string fields{};
   /** The answer is written before the request was read. */
@@ -52,6 +52,11 @@
      .is_early = true,
      .resets = true},
     {.name = "reset after the upload", .resets = true},
+    {.name = "status 000", .status = "000"},
+    {.name = "status 000 with a length",
+     .status = "000",
+     .fields = "Content-Length: 4\r\n"},
+    {.name = "status 999", .status = "999"},
 };
 
 bool IsStreamRoute(const std::string& target) {
@@ -98,9 +103,9 @@
     const auto body = is_stream ? StreamEvent(request.id, 1)
                                 : WholeBody(request.id, kStamp).substr(0, 4);
     const auto type = is_stream ? "Content-Type: text/event-stream\r\n" : "";
-    return {{.bytes = form.status_line + "X-Request-Id: " + request.id +
-                      "\r\nX-Server-Stamp: " + kStamp + "\r\n" + type +
-                      form.fields + "\r\n" + body,
+    return {{.bytes = "HTTP/1.1 " + form.status + " Status\r\nX-Request-Id: " +
+                      request.id + "\r\nX-Server-Stamp: " + kStamp + "\r\n" +
+                      type + form.fields + "\r\n" + body,
              .resets = form.resets}};
   }
 
