Reject a response whose head has a line that begins with a blank or a tab

What callers saw: an upstream in trouble sent an answer in whose head the name of a field began with a blank or a tab. The caller got it as an answer. The line was passed on as part of the field before it. If it stated the length or chunks, the body had neither: callers got the chunks' framing as the body, or waited until their time limit and got 504.

Cause: the parser joins such a line to the value of the field before it, an obsolete form of HTTP/1 (obs-fold) that a gateway must reject or rewrite (RFC 9112, 5.2). Besides, http_client and CallOnce took fields after the last chunk for fields of the head.

Change: ReadHead parses the head of every response from its bytes and fails with bad_field for such a line, in interim responses too. http_client takes the fields when the head is read.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -125,10 +125,13 @@
   connection.stream.expires_after(limits.inactivity_timeout);
   auto failure = co_await ReadFinalHead(connection.stream, connection.buffer,
                                         parser, sizes);
-  if (!failure) {
-    co_await http::async_read(connection.stream, connection.buffer, *parser,
-                              Redirect(failure));
+  if (failure) {
+    co_return Failure(call_progress::sent, failure);
   }
+  // A trailer adds to the fields of the message and is not passed on.
+  auto fields = FieldsOf(parser->get());
+  co_await http::async_read(connection.stream, connection.buffer, *parser,
+                            Redirect(failure));
   if (failure) {
     co_return Failure(call_progress::sent, failure);
   }
@@ -136,7 +139,7 @@
   // Bytes after the response belong to no request of this client.
   connection.reusable = response.keep_alive() && connection.buffer.size() == 0;
   co_return http_response{static_cast<int>(response.result_int()),
-                          FieldsOf(response), std::move(response.body())};
+                          std::move(fields), std::move(response.body())};
 }
 
 /** @brief Returns true if the server closed an idle connection or sent
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -35,6 +35,16 @@
   return status >= 200 && status < 600;
 }
 
+/**
+ * @brief Reads the head of the next response.
+ * @return `bad_field` also for a line that begins with a blank or a tab, in
+ * place of the name of a field.
+ */
+[[nodiscard]] boost::asio::awaitable<boost::system::error_code> ReadHead(
+    boost::beast::tcp_stream& stream,
+    boost::beast::flat_buffer& buffer,
+    boost::beast::http::basic_parser<false>& parser);
+
 /**
  * @brief Reads the head of the final response to a request, after any interim
  * responses.
@@ -49,18 +59,13 @@
     boost::beast::flat_buffer& buffer,
     std::optional<boost::beast::http::response_parser<Body>>& parser,
     response_limits limits) {
-  namespace asio = boost::asio;
   namespace http = boost::beast::http;
   for (int heads = 0; heads <= kMaxInterimResponses; ++heads) {
     parser.emplace();
     parser->header_limit(limits.head_bytes);
     parser->body_limit(limits.body_bytes);
     parser->skip(limits.has_no_body);
-    boost::system::error_code failure;
-    co_await http::async_read_header(
-        stream, buffer, *parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-    if (failure) {
+    if (const auto failure = co_await ReadHead(stream, buffer, *parser)) {
       co_return failure;
     }
     const auto status = parser->get().result_int();
--- a/test/mimosadeckctl/client_test.cc
+++ b/test/mimosadeckctl/client_test.cc
@@ -61,6 +61,8 @@
 BOOST_AUTO_TEST_CASE(command_with_a_broken_response_has_an_unknown_outcome) {
   BOOST_TEST(IsUnknown("HTTP/1.1 200 OK\r\n\r\n{}", true));
   BOOST_TEST(IsUnknown("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"));
+  BOOST_TEST(
+      IsUnknown("HTTP/1.1 200 OK\r\nDate: d\r\n Content-Length: 9\r\n\r\n{}"));
   BOOST_TEST(IsUnknown("HTTP/1.1 101 OK\r\n\r\n"));
   BOOST_TEST(IsUnknown("HTTP/1.1 100 Continue\r\n\r\n"));
 }
--- a/test/net/broken_response_test.cc
+++ b/test/net/broken_response_test.cc
@@ -45,7 +45,9 @@
 struct scripted_response {
   std::string bytes;
   ending end{ending::keep};
-  std::chrono::milliseconds pause_before_end{};
+  /** Before the rest of the bytes and the end. */
+  std::chrono::milliseconds pause{};
+  std::string rest{};
 };
 
 /** @brief Functions of net that read a response. */
@@ -95,8 +97,10 @@
       const auto script = scripts[next++];
       co_await asio::async_write(socket, asio::buffer(script.bytes),
                                  Redirect(failure));
-      asio::steady_timer timer(io, script.pause_before_end);
+      asio::steady_timer timer(io, script.pause);
       co_await timer.async_wait(Redirect(failure));
+      co_await asio::async_write(socket, asio::buffer(script.rest),
+                                 Redirect(failure));
       const bool ends_side = script.end == ending::shut_down ||
                              script.end == ending::shut_down_and_reset;
       if (ends_side) {
@@ -376,4 +380,99 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(field_names)
+
+/** @brief Returns lines whose field name holds a blank or a control byte: at
+ * its beginning, inside or at its end. */
+std::vector<std::string> BrokenLines(const std::string& name,
+                                     const std::string& value) {
+  constexpr char kDelete = 127;
+  std::string bytes{kDelete};
+  for (char c = 0; c <= ' '; ++c) {
+    bytes += c;
+  }
+  std::vector<std::string> out;
+  for (const char c : bytes) {
+    for (const auto at : {std::size_t{0}, name.size() / 2, name.size()}) {
+      auto broken = name;
+      broken.insert(at, 1, c);
+      out.push_back(broken + ": " + value + "\r\n");
+    }
+  }
+  return out;
+}
+
+// Guards against a head with a broken line that passes for an answer: the line
+// becomes part of the field before it, or, if it states the framing, the body
+// is not that of the server.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       response_with_a_broken_field_name_is_broken,
+                       data::make(kReaders),
+                       which) {
+  const std::string first = "HTTP/1.1 200 OK\r\n";
+  const std::string sound = "X-Field: value\r\n";
+  const std::string length = "Content-Length: 3\r\n";
+  for (const bool is_reused : {false, true}) {
+    for (const auto& line : BrokenLines("X-Name", "other")) {
+      for (const auto& head :
+           {first + line + length, first + sound + line + length,
+            first + length + line,
+            "HTTP/1.1 100 Continue\r\n" + sound + line + "\r\n" + first +
+                length}) {
+        BOOST_TEST_CONTEXT("reused " << is_reused << " head " << head) {
+          BOOST_TEST(IsBroken(Play(which, is_reused, {head + "\r\nall"})));
+        }
+      }
+    }
+    for (const auto& [name, value] :
+         {std::pair{"Content-Length", "3"},
+          std::pair{"Transfer-Encoding", "chunked"}}) {
+      for (const auto& line : BrokenLines(name, value)) {
+        const auto head = first + sound + line + "\r\n";
+        BOOST_TEST_CONTEXT("reused " << is_reused << " head " << head) {
+          BOOST_TEST(IsBroken(
+              Play(which, is_reused, {head + "all", ending::shut_down})));
+        }
+      }
+    }
+  }
+}
+
+// Guards against a head that is checked only in the pieces in which it arrives.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       broken_field_name_is_found_in_a_head_that_comes_in_parts,
+                       data::make(kReaders),
+                       which) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Field: value\r\n Content-Length: 3\r\n"
+      "X-Last: value\r\n\r\n";
+  for (std::size_t cut = 1; cut < head.size(); ++cut) {
+    BOOST_TEST_CONTEXT("cut after " << head.substr(0, cut)) {
+      BOOST_TEST(IsBroken(Play(which, false,
+                               {head.substr(0, cut), ending::shut_down, 1ms,
+                                head.substr(cut) + "all"})));
+    }
+  }
+}
+
+// Guards against a line after the last chunk that is passed on as a field.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       trailer_is_not_passed_on,
+                       data::make(kReaders),
+                       which) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n";
+  for (const auto& trailer :
+       {std::string("X-Name: other\r\n"),
+        std::string("X-Name: other\r\n X-Folded: other\r\n")}) {
+    const auto got = Play(which, false, {chunked + trailer + "\r\n"});
+    if (const auto* response = std::get_if<net::http_response>(&got)) {
+      BOOST_TEST(response->body == "all");
+      BOOST_TEST(!response->fields.contains("x-name"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/system/broken_answer_system_test.cc
+++ b/test/system/broken_answer_system_test.cc
@@ -57,6 +57,13 @@
      .status = "000",
      .fields = "Content-Length: 4\r\n"},
     {.name = "status 999", .status = "999"},
+    {.name = "field name that begins with a blank",
+     .fields = " Content-Length: 4\r\n"},
+    {.name = "field name that begins with a control byte",
+     .fields = "\tTransfer-Encoding: chunked\r\n"},
+    {.name = "field name that ends with a blank",
+     .fields = "Content-Length : 4\r\n"},
+    {.name = "field name with a control byte", .fields = "X-\x01Name: n\r\n"},
 };
 
 bool IsStreamRoute(const std::string& target) {
