Reject responses with a transfer coding that is not decoded

What callers saw: a 200 whose body was not the upstream's: the bytes of a coding, or of the chunks' framing, if the upstream stated a transfer coding besides `chunked`. The field itself is not passed on, so that no caller could tell.

Cause: the parser reads such a response until its length or the end of the connection, as if there were no coding. Requests were checked for it, responses were not.

Change: ReadFinalHead fails with bad_transfer_encoding unless a response states no coding or `chunked` alone; the check is the one that requests had.

Evidence: before the change the framing of broken_response_test failed 190 times (38 with each of the five readers), and broken_answer_system_test got 200 for a safe and an unsafe request with `Transfer-Encoding: gzip` and a length. Now both pass; the unsafe request gets 502 and does not run again.

Handled already, with tests that passed before (200, 404 and 503): lines without a colon or a name, bare line feeds and carriage returns, control bytes in values, zero bytes and bytes over 127, lengths that differ or are no number, a length and chunks together, and first lines that are not of HTTP/1.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -427,16 +427,14 @@
    * ends. */
   static bool IsFramingUnambiguous(
       const http::request<http::string_body>& head) {
-    const auto codings = head.equal_range(http::field::transfer_encoding);
     const auto hosts = head.equal_range(http::field::host);
     if (hosts.first == hosts.second || std::next(hosts.first) != hosts.second) {
       return false;
     }
-    if (codings.first == codings.second) {
+    if (head.find(http::field::transfer_encoding) == head.end()) {
       return true;
     }
-    return std::next(codings.first) == codings.second &&
-           beast::iequals(codings.first->value(), "chunked") &&
+    return HasNoOtherCoding(head) &&
            head.find(http::field::content_length) == head.end() &&
            head.version() == kHttpVersion;
   }
--- a/src/net/http_fields.h
+++ b/src/net/http_fields.h
@@ -2,9 +2,11 @@
 #define NET_HTTP_FIELDS_H_
 
 #include <cctype>
+#include <iterator>
 #include <string>
 #include <string_view>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/fields.hpp>
 
 #include "net/http_types.h"
@@ -33,6 +35,16 @@
   return out;
 }
 
+/** @brief Returns true if a message states no transfer coding besides chunks,
+ * which are the only coding that is decoded here. */
+inline bool HasNoOtherCoding(const boost::beast::http::fields& head) {
+  const auto codings =
+      head.equal_range(boost::beast::http::field::transfer_encoding);
+  return codings.first == codings.second ||
+         (std::next(codings.first) == codings.second &&
+          boost::beast::iequals(codings.first->value(), "chunked"));
+}
+
 }  // namespace mimosadeck::net::internal
 
 #endif  // NET_HTTP_FIELDS_H_
--- a/src/net/response_head.cc
+++ b/src/net/response_head.cc
@@ -2,6 +2,9 @@
 
 #include <string_view>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace mimosadeck::net::internal {
 
 namespace asio = boost::asio;
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -5,11 +5,11 @@
 #include <optional>
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/http_fields.h"
+
 namespace mimosadeck::net::internal {
 
 /** Interim responses (1xx) allowed before the final one; servers send one or
@@ -50,8 +50,8 @@
  * responses.
  * @param parser Receives the response; holds the head if there is no error.
  * @return `bad_status` for a status that no response to the request has,
- * `header_limit` for too many interim responses, any other error of the
- * connection or of parsing.
+ * `bad_transfer_encoding` for a coding besides chunks, `header_limit` for too
+ * many interim responses, any other error of the connection or of parsing.
  */
 template <typename Body>
 [[nodiscard]] boost::asio::awaitable<boost::system::error_code> ReadFinalHead(
@@ -70,7 +70,9 @@
     }
     const auto status = parser->get().result_int();
     if (IsFinalStatus(status)) {
-      co_return boost::system::error_code{};
+      co_return HasNoOtherCoding(parser->get())
+          ? boost::system::error_code{}
+          : make_error_code(http::error::bad_transfer_encoding);
     }
     if (!IsInterimStatus(status)) {
       co_return http::error::bad_status;
--- a/test/net/broken_response_test.cc
+++ b/test/net/broken_response_test.cc
@@ -512,4 +512,86 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(framing)
+
+// Guards against the bytes of a transfer coding that is not decoded, or of the
+// chunks' framing, which pass for the body.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       response_with_a_coding_besides_chunks_is_broken,
+                       data::make(kReaders),
+                       which) {
+  for (const auto* fields :
+       {"gzip", "identity", "", "xchunked", "\"chunked\"", "chunked;q=1",
+        "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "gzip\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 3"}) {
+    const auto head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(fields) +
+        "\r\n\r\n";
+    for (const auto* body : {"all", "3\r\nall\r\n0\r\n\r\n"}) {
+      for (const bool is_reused : {false, true}) {
+        BOOST_TEST_CONTEXT("reused " << is_reused << " response " << head
+                                     << body) {
+          BOOST_TEST(IsBroken(
+              Play(which, is_reused, {head + body, ending::shut_down})));
+        }
+      }
+    }
+  }
+}
+
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       name_of_the_coding_may_have_any_case,
+                       data::make(kReaders),
+                       which) {
+  BOOST_TEST(HasBody(Play(which, false,
+                          {"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n"
+                           "\r\n3\r\nall\r\n0\r\n\r\n"}),
+                     "all"));
+}
+
+// Guards against a head that is not of the protocol, for which servers and
+// callers may disagree on fields and body.
+BOOST_DATA_TEST_CASE_F(scripted_server,
+                       head_that_is_not_of_the_protocol_is_broken,
+                       data::make(kReaders),
+                       which) {
+  const std::vector<std::string> lines{"X-Name\r\n",
+                                       ": value\r\n",
+                                       "X-Name: a\nX-Other: b\r\n",
+                                       "X-Name: a\rX-Other: b\r\n",
+                                       "X-Name: \x01\r\n",
+                                       std::string("X-Name: \0\r\n", 11),
+                                       "X-Name: \x7f\r\n",
+                                       "X-\x80Name: a\r\n",
+                                       "X-\xffName: a\r\n",
+                                       "X(Name: a\r\n",
+                                       "Content-Length: 4\r\n",
+                                       "Content-Length: 3, 4\r\n",
+                                       "Content-Length: +3\r\n",
+                                       "Content-Length: 3x\r\n",
+                                       "Content-Length: \r\n",
+                                       "Transfer-Encoding: chunked\r\n"};
+  const std::string length = "Content-Length: 3\r\n";
+  for (const auto* status : {"200", "404", "503"}) {
+    const auto first = "HTTP/1.1 " + std::string(status) + " Status\r\n";
+    for (const auto& line : lines) {
+      for (const auto& head : {first + line + length, first + length + line}) {
+        BOOST_TEST_CONTEXT("head " << head) {
+          BOOST_TEST(IsBroken(Play(which, false, {head + "\r\nall"})));
+        }
+      }
+    }
+  }
+  for (const auto* first :
+       {"HTTP/2.0 200 OK\r\n", "HTTP/1.1 200\r\n", "HTTP/1.1 20 OK\r\n",
+        "HTTP/1.1 2000 OK\r\n", "HTTP/1.1  200 OK\r\n",
+        "HTTP/1.1 200 O\x01K\r\n", "HTTP/1.1 200 OK\n"}) {
+    BOOST_TEST_CONTEXT("first line " << first) {
+      BOOST_TEST(IsBroken(Play(which, false, {first + length + "\r\nall"})));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
--- a/test/system/broken_answer_system_test.cc
+++ b/test/system/broken_answer_system_test.cc
@@ -63,6 +63,8 @@
      .fields = "\tTransfer-Encoding: chunked\r\n"},
     {.name = "field name that ends with a blank",
      .fields = "Content-Length : 4\r\n"},
+    {.name = "transfer coding that is not decoded",
+     .fields = "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n"},
     {.name = "field name with a control byte", .fields = "X-\x01Name: n\r\n"},
 };
 
