--- a/test/net/broken_response_test.cc
+++ b/test/net/broken_response_test.cc
@@ -38,6 +38,8 @@
   reset,
   /** Ends its side, then reads the rest of the request. */
   shut_down,
+  /** Ends its side and reads nothing more. */
+  shut_down_and_wait,
   /** Ends its side, then resets the connection. */
   shut_down_and_reset,
 };
@@ -132,6 +134,7 @@
       co_await asio::async_write(socket, asio::buffer(script.rest),
                                  Redirect(failure));
       const bool ends_side = script.end == ending::shut_down ||
+                             script.end == ending::shut_down_and_wait ||
                              script.end == ending::shut_down_and_reset;
       if (ends_side) {
         socket.shutdown(tcp::socket::shutdown_send, failure);
@@ -142,6 +145,11 @@
                                   Redirect(failure));
         co_return;
       }
+      if (script.end == ending::shut_down_and_wait) {
+        timer.expires_after(2 * kTimeout);
+        co_await timer.async_wait(Redirect(failure));
+        co_return;
+      }
       if (script.end == ending::reset ||
           script.end == ending::shut_down_and_reset) {
         socket.set_option(tcp::socket::linger(true, 0));
@@ -234,6 +242,9 @@
                    });
     io.restart();
     io.run();
+    if (std::holds_alternative<net::call_failure>(out)) {
+      BOOST_TEST(cache.IdleCount() == 0);
+    }
     return out;
   }
 
@@ -257,8 +268,8 @@
   }
 };
 
-/** @brief Returns true if a call failed, not by timeout, with a request that
- * may have been executed. */
+/** @brief Returns true if a call failed at once, with a request that may have
+ * been executed. */
 bool IsBroken(const net::call_result& result) {
   const auto* failed = std::get_if<net::call_failure>(&result);
   return failed && !failed->timed_out &&
@@ -335,8 +346,19 @@
   }
 }
 
-// As above, but the server resets the connection after its end. Readers that
-// write the whole request first never see the response.
+// Guards against a sound early response that waits for the rest of its request.
+BOOST_DATA_TEST_CASE_F(long_upload,
+                       response_that_ended_does_not_wait_for_its_request,
+                       data::make({reader::call, reader::queued_call}) *
+                           data::make(kWholeResponses),
+                       which,
+                       whole) {
+  BOOST_TEST(
+      HasBody(Play(which, false, {whole, ending::shut_down_and_wait}), "all"));
+}
+
+// Guards against a whole response that is lost to the reset after it. Readers
+// that write the whole request first never see the response.
 BOOST_DATA_TEST_CASE_F(long_upload,
                        response_that_ended_before_a_reset_is_complete,
                        data::make(kReaders) * data::make(kWholeResponses),
