Name the supported transfer coding, and do not take a failed poll for a lost connection

Cause: HasNoOtherCoding did not say other than what, and a poll that fails was counted as a lost connection, whose end waits for the write of the request. Change: HasSupportedTransferCoding; only events of the connection count; comments.

--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -114,7 +114,7 @@
  * direction. */
 bool IsLost(tcp::socket& socket) {
   pollfd state{socket.native_handle(), 0, 0};
-  return ::poll(&state, 1, 0) != 0;
+  return ::poll(&state, 1, 0) > 0;
 }
 
 /** @brief Returns true if the peer closed the connection or sent bytes that no
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -128,7 +128,7 @@
   if (failure) {
     co_return Failure(call_progress::sent, failure);
   }
-  // A trailer adds to the fields of the message and is not passed on.
+  // Taken now, because the parser adds a trailer to them.
   auto fields = FieldsOf(parser->get());
   co_await http::async_read(connection.stream, connection.buffer, *parser,
                             Redirect(failure));
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -434,7 +434,7 @@
     if (head.find(http::field::transfer_encoding) == head.end()) {
       return true;
     }
-    return HasNoOtherCoding(head) &&
+    return HasSupportedTransferCoding(head) &&
            head.find(http::field::content_length) == head.end() &&
            head.version() == kHttpVersion;
   }
--- a/src/net/http_fields.h
+++ b/src/net/http_fields.h
@@ -35,9 +35,9 @@
   return out;
 }
 
-/** @brief Returns true if a message states no transfer coding besides chunks,
- * which are the only coding that is decoded here. */
-inline bool HasNoOtherCoding(const boost::beast::http::fields& head) {
+/** @brief Returns true if a message states no transfer coding, or `chunked`
+ * alone, which is the only one that is decoded here. */
+inline bool HasSupportedTransferCoding(const boost::beast::http::fields& head) {
   const auto codings =
       head.equal_range(boost::beast::http::field::transfer_encoding);
   return codings.first == codings.second ||
--- a/src/net/response_head.h
+++ b/src/net/response_head.h
@@ -70,7 +70,7 @@
     }
     const auto status = parser->get().result_int();
     if (IsFinalStatus(status)) {
-      co_return HasNoOtherCoding(parser->get())
+      co_return HasSupportedTransferCoding(parser->get())
           ? boost::system::error_code{}
           : make_error_code(http::error::bad_transfer_encoding);
     }
