Put case 12 beside a SIGHUP

Rule LOST asks for a complete answer around planned work, so the clients that read slowly now do so beside a SIGHUP, which is sent with TROUBLE=0 as well.

--- a/review/12/src/main.cc
+++ b/review/12/src/main.cc
@@ -1,7 +1,9 @@
 // Clients on kept connections stop reading for a while in the middle of an
-// answer. The answer must arrive all the same.
+// answer, while the daemon reads its settings again. The answer must arrive all
+// the same.
 
 #include <atomic>
+#include <csignal>
 #include <thread>
 
 #include "../../11/src/bed.h"
@@ -17,8 +19,9 @@
 constexpr std::size_t kAnswerBytes = 64 * 1024;
 /** Receive buffer of a client. */
 constexpr int kReceiveBytes = 4 * 1024;
-/** LOST allows three such answers. */
+/** LOST allows three such answers at any time, and none beside a SIGHUP. */
 constexpr int kMaxLost = 3;
+constexpr milliseconds kPollInterval{10};
 
 int Run(record& log) {
   store platform(kIp);
@@ -37,6 +40,8 @@
                Manifest(1, {{"/book/", "unsafe", "pool", kTimeLimit}}));
   platform.Put("servers", "", "w-1", WorkerEntry("pool", worker.Address()));
   const daemon_process daemon(kIp, platform.Address());
+  std::atomic<int> ready_clients{0};
+  std::atomic<bool> is_reloaded{false};
   std::atomic<int> lost{0};
   std::atomic<int> whole{0};
   std::vector<std::thread> clients;
@@ -56,6 +61,11 @@
         log.Write(id + ": no first answer");
         return;
       }
+      ++ready_clients;
+      while (!is_reloaded) {
+        Sleep(kPollInterval);
+      }
+      log.Write(id + "-long: sent");
       link->Write(RequestHead("POST", "/book/long", id + "-long", kTimeLimit,
                               "Content-Length: 0\r\n\r\n"));
       if (HasTrouble()) {
@@ -72,6 +82,13 @@
           (is_whole ? "whole" : "connection ended: " + link->LastError()));
     });
   }
+  const auto end = steady::now() + kTimeLimit;
+  while (ready_clients < kClients && steady::now() < end) {
+    Sleep(kPollInterval);
+  }
+  log.Write("SIGHUP to the daemon");
+  daemon.Signal(SIGHUP);
+  is_reloaded = true;
   for (auto& client : clients) {
     client.join();
   }
