--- a/review/12/src/main.cc
+++ b/review/12/src/main.cc
@@ -13,10 +13,13 @@
 
 constexpr const char* kIp = "127.0.12.1";
 constexpr int kClients = 8;
-constexpr milliseconds kTimeLimit{15000};
+constexpr milliseconds kTimeLimit{10000};
 /** Time for which a client does not read, within its time limit. */
 constexpr milliseconds kReadPause{4000};
-constexpr std::size_t kAnswerBytes = 64 * 1024;
+/** An answer of the sheet's largest size. */
+constexpr int kEvents = 95;
+constexpr std::size_t kEventBytes = 480;
+constexpr std::size_t kAnswerBytes = kEvents * kEventBytes;
 /** Receive buffer of a client. */
 constexpr int kReceiveBytes = 4 * 1024;
 /** LOST allows three such answers at any time, and none beside a SIGHUP. */
@@ -30,14 +33,14 @@
     while (const auto request = peer.ReadRequest()) {
       ++runs;
       const bool is_long = request->Target().ends_with("/long");
-      peer.Write(WorkerResponse(*request, "w-1",
-                                std::string(is_long ? kAnswerBytes : 4, 'a')));
+      peer.Write(
+          StreamResponse(*request, "w-1", is_long ? kEvents : 1, kEventBytes));
       log.Write("worker ran " + request->Field("x-request-id") +
                 " and answered whole");
     }
   });
   platform.Put("op", "", "config",
-               Manifest(1, {{"/book/", "unsafe", "pool", kTimeLimit}}));
+               Manifest(1, {{"/summary/", "stream", "pool", kTimeLimit}}));
   platform.Put("servers", "", "w-1", WorkerEntry("pool", worker.Address()));
   const daemon_process daemon(kIp, platform.Address());
   std::atomic<int> ready_clients{0};
@@ -54,8 +57,8 @@
         return;
       }
       link->SetReadTimeout(kTimeLimit);
-      link->Write(RequestHead("POST", "/book/short", id + "-short", kTimeLimit,
-                              "Content-Length: 0\r\n\r\n"));
+      link->Write(RequestHead("POST", "/summary/short", id + "-short",
+                              kTimeLimit, "Content-Length: 0\r\n\r\n"));
       const auto first = link->ReadResponse();
       if (!first || first->Status() != 200) {
         log.Write(id + ": no first answer");
@@ -66,7 +69,7 @@
         Sleep(kPollInterval);
       }
       log.Write(id + "-long: sent");
-      link->Write(RequestHead("POST", "/book/long", id + "-long", kTimeLimit,
+      link->Write(RequestHead("POST", "/summary/long", id + "-long", kTimeLimit,
                               "Content-Length: 0\r\n\r\n"));
       if (HasTrouble()) {
         Sleep(kReadPause);
