Keep the connections of slow peers

Callers that read nothing for a few seconds lost their answers: the connection was reset 3 s after their receive window closed, and the log called the request served.

Cause: TCP_USER_TIMEOUT, set on the connections of callers and to upstreams, the store and other entries. The system applies it to a peer whose window is closed even if the peer acknowledges every probe. On plain sockets (46 KB sent, a receive buffer of 4 KB) the connection ended between 2.8 and 3.5 s after the window closed with the option, and was open 7.5 s after it without. Ruled out: the SIGHUP, since the same is lost without it.

Change: the option is gone. peer_watch samples connections with bytes under way every 0.5 s, and peer_silence resets one in which something has been waiting for an acknowledgement for 3 s. The time since the last acknowledgement cannot be used, because the probes of a closed window back off. The log event response_untaken names the request, the reason and the bytes when a connection ends before its caller has taken a response; a whole answer that could not be written ends as caller_left.

Tests, on (slow_peer_test without the parts for the new interface): five forms of slow callers and the slow upload fail in slow_peer_test, and four kinds of route, alone, beside SIGHUP and beside SIGTERM, in slow_caller_system_test. All pass now. What must stay passes before and after: an upstream lost in an upload, before its request and before its response is noticed within 6 s. The test of a lost caller (5 s) uses the new interface and was not run before the change. Lost peers are played with a socket filter that drops their input.

--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -164,6 +164,16 @@
           telemetry::level::warning, "caller_cut_off",
           {{"listener", listener}, {"reason", reason}, {"address", address}});
     };
+    out.on_untaken = [this, listener](const net::untaken_response& lost) {
+      state_.metrics.Count("mimosadeck_responses_untaken_total", "listener",
+                           listener);
+      telemetry::Log(telemetry::level::info, "response_untaken",
+                     {{"listener", listener},
+                      {"request", lost.request},
+                      {"address", lost.address},
+                      {"reason", lost.reason},
+                      {"bytes", std::to_string(lost.bytes)}});
+    };
     return out;
   }
 
--- a/apps/mimosadeckd/edge/forward.cc
+++ b/apps/mimosadeckd/edge/forward.cc
@@ -375,10 +375,12 @@
     if (auto* complete = std::get_if<complete_response>(&outcome)) {
       internal::ClearSuspect(state, *context);
       const auto status = complete->response.status;
-      co_await exchange.Respond(std::move(complete->response));
+      const bool is_written =
+          co_await exchange.Respond(std::move(complete->response));
       internal::RecordServiceTime(state, *context, started_at);
+      const auto* outcome_name = complete->is_success ? "served" : "passed_on";
       LogRequestEnd(state, *context, status,
-                    complete->is_success ? "served" : "passed_on");
+                    is_written ? outcome_name : "caller_left");
       co_return;
     }
     if (std::holds_alternative<stream_finished>(outcome)) {
--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -133,6 +133,12 @@
       telemetry::Log(telemetry::level::warning, "caller_cut_off",
                      {{"reason", cause}, {"address", address}});
     };
+    options.on_untaken = [](const net::untaken_response& lost) {
+      telemetry::Log(telemetry::level::info, "response_untaken",
+                     {{"address", lost.address},
+                      {"reason", lost.reason},
+                      {"bytes", std::to_string(lost.bytes)}});
+    };
     caller_server_ = std::make_unique<net::http_server>(
         traffic_contexts, settings_.caller_address, options,
         [this](auto request, auto& exchange) {
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -14,6 +14,7 @@
 #include "net/address.h"
 #include "net/http_fields.h"
 #include "net/one_shot.h"
+#include "net/peer_watch.h"
 #include "net/read_buffer.h"
 #include "net/response_head.h"
 #include "net/socket_options.h"
@@ -48,6 +49,7 @@
   explicit connection(const asio::any_io_executor& executor)
       : stream(executor) {}
   beast::tcp_stream stream;
+  peer_watch watch{stream.socket()};
   beast::flat_buffer buffer{kReadAheadBytes};
   steady::time_point idle_since;
   /** Number of responses whose head was read. */
@@ -253,16 +255,25 @@
     if (failure || is_closed) {
       co_return internal::Failure(call_progress::not_sent, failure);
     }
-    internal::EnableDeadPeerDetection(connection->stream.socket());
+    internal::SetConnectionOptions(connection->stream.socket());
     co_return std::nullopt;
   }
 
+  /** Returns the failure of a call whose request may have arrived. */
+  [[nodiscard]] call_failure FailureAfterSending(error_code failure) const {
+    const bool is_lost = connection && connection->watch.IsLost();
+    return internal::Failure(call_progress::sent,
+                             is_lost ? asio::error::timed_out : failure);
+  }
+
   /** Writes the request concurrently with reading the response, since a server
    * may respond before it has read the body. */
   static void Write(const std::shared_ptr<impl>& self) {
+    self->connection->watch.OnWriteBegin();
     http::async_write(self->connection->stream, self->sending->message,
                       [connection = self->connection, sending = self->sending](
                           error_code failure, std::size_t) {
+                        connection->watch.OnWriteEnd();
                         sending->written = !failure;
                         sending->result.Set(failure);
                       });
@@ -299,7 +310,7 @@
     const auto failure = co_await internal::ReadFinalHead(
         connection->stream, connection->buffer, parser, limits);
     if (failure || is_closed) {
-      co_return internal::Failure(call_progress::sent, failure);
+      co_return FailureAfterSending(failure);
     }
     fields = internal::FieldsOf(parser->get());
     is_first_on_connection = connection->responses++ == 0;
@@ -367,7 +378,7 @@
         self->connection->stream, self->connection->buffer, *self->parser,
         internal::Redirect(failure));
     if (self->is_closed || (failure && failure != http::error::need_buffer)) {
-      co_return internal::Failure(call_progress::sent, failure);
+      co_return self->FailureAfterSending(failure);
     }
     if (skipped > internal::kMaxSkippedBytes) {
       self->Abort();
@@ -416,7 +427,7 @@
                                    self->connection->buffer, *self->parser,
                                    internal::Redirect(failure));
     if (self->is_closed || (failure && failure != http::error::need_buffer)) {
-      co_return internal::Failure(call_progress::sent, failure);
+      co_return self->FailureAfterSending(failure);
     }
     const auto read = bytes.size() - self->parser->get().body().size;
     if (read > 0) {
@@ -425,7 +436,7 @@
     }
   }
   if (const auto failure = co_await self->ErrorInsteadOfEnd()) {
-    co_return internal::Failure(call_progress::sent, failure);
+    co_return self->FailureAfterSending(failure);
   }
   self->Finish();
   co_return std::string{};
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -24,6 +24,8 @@
 #include "base/time.h"
 #include "net/http_fields.h"
 #include "net/http_server.h"
+#include "net/output_state.h"
+#include "net/peer_watch.h"
 #include "net/socket_options.h"
 
 namespace mimosadeck::net::internal {
@@ -53,6 +55,8 @@
  * upstream. */
 inline constexpr std::uint64_t kBodyCopies = 2;
 inline constexpr std::chrono::milliseconds kDiscardTime{2000};
+/** Time in which a watch notices that a caller is overdue. */
+inline constexpr std::chrono::milliseconds kWatchTime{2000};
 
 inline http_request Convert(http::request<http::string_body>&& in) {
   http_request out;
@@ -106,8 +110,12 @@
   connection(tcp::socket socket,
              const server_options& settings,
              server_state& server)
-      : stream_(std::move(socket)), settings_(settings), server_(server) {
-    EnableDeadPeerDetection(stream_.socket());
+      : stream_(std::move(socket)),
+        output_(stream_.socket(),
+                [this](loss_reason reason) { OnCallerLost(reason); }),
+        settings_(settings),
+        server_(server) {
+    SetConnectionOptions(stream_.socket());
     error_code ignored;
     const auto peer = stream_.socket().remote_endpoint(ignored);
     address_ = ignored ? std::string{} : peer.address().to_string();
@@ -182,7 +190,7 @@
     out.keep_alive(KeepsOpen());
     out.prepare_payload();
     error_code failure;
-    stream_.expires_after(limits_.body_timeout);
+    BeginWrite();
     co_await http::async_write(
         stream_, out, asio::redirect_error(asio::use_awaitable, failure));
     co_return CheckWritten(failure);
@@ -199,7 +207,7 @@
     out.chunked(true);
     http::response_serializer<http::empty_body> serializer{out};
     error_code failure;
-    stream_.expires_after(limits_.body_timeout);
+    BeginWrite();
     co_await http::async_write_header(
         stream_, serializer,
         asio::redirect_error(asio::use_awaitable, failure));
@@ -211,7 +219,7 @@
       co_return false;
     }
     error_code failure;
-    stream_.expires_after(limits_.body_timeout);
+    BeginWrite();
     co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(bytes)),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -223,7 +231,7 @@
       co_return false;
     }
     error_code failure;
-    stream_.expires_after(limits_.body_timeout);
+    BeginWrite();
     co_await asio::async_write(
         stream_, http::make_chunk_last(),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -235,9 +243,12 @@
   void OnCallerDisconnect(std::function<void()> on_disconnect) override {
     StopWatching();
     watch_ = std::make_shared<asio::cancellation_signal>();
-    Watch(watch_, std::move(on_disconnect));
+    on_disconnect_ = std::move(on_disconnect);
+    Watch(watch_);
   }
 
+  void SetRequest(std::string name) override { request_ = std::move(name); }
+
   [[nodiscard]] bool HasStarted() const override { return started_; }
 
  private:
@@ -259,6 +270,7 @@
         asio::redirect_error(asio::use_awaitable, failure));
     reading_ = false;
     buffer_.commit(read);
+    ReportIfUntaken(failure);
     co_return !failure && !closed_;
   }
 
@@ -491,8 +503,20 @@
     }
   }
 
+  /** @brief Sets the time until which the caller may take the bytes of a write;
+   * those that the system has buffered by its end included. */
+  void BeginWrite() {
+    const auto take_until =
+        std::chrono::steady_clock::now() + limits_.body_timeout;
+    // The watch ends the connection first, and tells of the bytes.
+    stream_.expires_at(take_until + kWatchTime);
+    output_.OnWriteBegin(take_until);
+  }
+
   bool CheckWritten(error_code failure) {
+    output_.OnWriteEnd();
     if (failure) {
+      ReportIfUntaken(failure);
       closed_ = true;
       return false;
     }
@@ -500,26 +524,57 @@
     return true;
   }
 
-  void Watch(const std::shared_ptr<asio::cancellation_signal>& watch,
-             std::function<void()> on_disconnect) {
+  /** @brief Reports that the caller ended the connection before it had taken
+   * all bytes; one that ends only its own direction may still take them. */
+  void ReportIfUntaken(error_code failure) {
+    if (failure && failure != asio::error::eof &&
+        failure != asio::error::operation_aborted && !closed_) {
+      ReportUntaken(failure == beast::error::timeout ? "overdue"
+                                                     : failure.message());
+    }
+  }
+
+  void ReportUntaken(std::string reason) {
+    const auto bytes = PendingBytes(stream_.socket().native_handle());
+    if (bytes > 0 && settings_.on_untaken) {
+      settings_.on_untaken({request_, address_, std::move(reason), bytes});
+    }
+  }
+
+  /** @brief Ends the work for a caller whose connection is about to be reset.
+   */
+  void OnCallerLost(loss_reason reason) {
+    ReportUntaken(reason == loss_reason::silent ? "silent" : "overdue");
+    closed_ = true;
+    if (watch_) {
+      NotifyDisconnect();
+    }
+  }
+
+  void NotifyDisconnect() {
+    const auto on_disconnect = std::exchange(on_disconnect_, nullptr);
+    if (on_disconnect) {
+      on_disconnect();
+    }
+  }
+
+  void Watch(const std::shared_ptr<asio::cancellation_signal>& watch) {
     if (buffer_.size() >= kReadAheadBytes) {
       return;
     }
-    stream_.socket().async_wait(
-        tcp::socket::wait_read,
-        asio::bind_cancellation_slot(
-            watch->slot(),
-            [self = shared_from_this(), watch,
-             on_disconnect = std::move(on_disconnect)](error_code failure) {
-              if (failure || self->watch_ != watch) {
-                return;
-              }
-              if (self->ReadAhead()) {
-                on_disconnect();
-              } else {
-                self->Watch(watch, on_disconnect);
-              }
-            }));
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                asio::bind_cancellation_slot(
+                                    watch->slot(), [self = shared_from_this(),
+                                                    watch](error_code failure) {
+                                      if (failure || self->watch_ != watch) {
+                                        return;
+                                      }
+                                      if (self->ReadAhead()) {
+                                        self->NotifyDisconnect();
+                                      } else {
+                                        self->Watch(watch);
+                                      }
+                                    }));
   }
 
   /** @brief Reads bytes of pipelined requests.
@@ -533,6 +588,7 @@
       return false;
     }
     if (failure || size == 0) {
+      ReportIfUntaken(failure);
       closed_ = true;
       return true;
     }
@@ -544,6 +600,7 @@
     if (watch_) {
       const auto watch = std::move(watch_);
       watch_.reset();
+      on_disconnect_ = nullptr;
       watch->emit(asio::cancellation_type::terminal);
     }
   }
@@ -557,11 +614,13 @@
   }
 
   beast::tcp_stream stream_;
+  peer_watch output_;
   beast::flat_buffer buffer_;
   const server_options& settings_;
   server_state& server_;
   connection_limits limits_;
   std::shared_ptr<asio::cancellation_signal> watch_;
+  std::function<void()> on_disconnect_;
   bool keep_alive_{true};
   bool started_{false};
   bool closed_{false};
@@ -570,6 +629,8 @@
   bool was_cut_{false};
   /** Address of the caller, without the port. */
   std::string address_;
+  /** Name of the last request that got one. */
+  std::string request_;
   std::atomic<connection_phase> phase_{connection_phase::idle};
   std::atomic<mono_time> progressed_at_{SuspendAwareNow()};
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -50,6 +50,9 @@
    * before the response ends. */
   virtual void OnCallerDisconnect(std::function<void()> on_disconnect) = 0;
 
+  /** @brief Sets the name of the request for `server_options::on_untaken`. */
+  virtual void SetRequest(std::string name) = 0;
+
   /** @brief Returns true once a complete or chunked response was started. */
   [[nodiscard]] virtual bool HasStarted() const = 0;
 };
@@ -64,13 +67,28 @@
   std::uint64_t body_limit_bytes{1U << 20U};
   /** Longest time for receiving a header. */
   std::chrono::milliseconds header_timeout{10000};
-  /** Longest time for receiving a body, and for sending each part of a
-   * response. */
+  /** Longest time for receiving a body, and for the caller to take each part of
+   * a response. */
   std::chrono::milliseconds body_timeout{10000};
   /** Idle time after which a connection is closed. */
   std::chrono::milliseconds idle_timeout{60000};
 };
 
+/** @brief A connection that ended while bytes of responses were on their way to
+ * the caller. */
+struct untaken_response {
+  /** Last request of the connection that has a name; empty if there is none. */
+  std::string request;
+  /** Address of the caller, without the port. */
+  std::string address;
+  /** `silent` (the caller's system acknowledges nothing any more), `overdue`
+   * (the caller did not take the bytes in time), or the system's message. */
+  std::string reason;
+  /** Bytes that the caller's system did not acknowledge; it had room for the
+   * others, but the caller may not have read them. */
+  std::uint64_t bytes{};
+};
+
 /** @brief Settings of a server. */
 struct server_options {
   connection_limits limits;
@@ -95,6 +113,8 @@
    * address. May be called on any thread. */
   std::function<void(std::string_view reason, const std::string& address)>
       on_cut;
+  /** Called for each such connection; may be called on any thread. */
+  std::function<void(const untaken_response& lost)> on_untaken;
 };
 
 /**
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -9,6 +9,7 @@
 #include "net/listener_probe.h"
 #include "net/one_shot.h"
 #include "net/peer_link.h"
+#include "net/peer_silence.h"
 #include "net/receive_budget.h"
 #include "net/receive_memory.h"
 
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -8,9 +8,6 @@
 
 namespace mimosadeck::net::internal {
 
-/** Time after which a connection with unacknowledged data fails; it allows a
- * few retransmissions. */
-inline constexpr int kTcpUserTimeoutMs = 3000;
 /** Idle time before the first keep-alive probe. */
 inline constexpr int kKeepAliveIdleS = 1;
 /** Time between keep-alive probes. */
@@ -18,9 +15,10 @@
 /** Unanswered probes after which the connection fails. */
 inline constexpr int kKeepAliveProbes = 2;
 
-/** @brief Sets TCP options so that a connection to an unresponsive peer fails
- * within a few seconds; also disables Nagle's algorithm. */
-inline void EnableDeadPeerDetection(boost::asio::ip::tcp::socket& socket) {
+/** @brief Sets TCP options so that a connection to a lost peer fails within a
+ * few seconds while no bytes wait for it; peer_watch does it for the rest. Also
+ * disables Nagle's algorithm. */
+inline void SetConnectionOptions(boost::asio::ip::tcp::socket& socket) {
   namespace detail = boost::asio::detail::socket_option;
   using boost::asio::ip::tcp;
   boost::system::error_code ignored;
@@ -33,9 +31,6 @@
       ignored);
   socket.set_option(detail::integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
                     ignored);
-  socket.set_option(
-      detail::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kTcpUserTimeoutMs),
-      ignored);
 }
 
 }  // namespace mimosadeck::net::internal
