Give callers the time that their requests have left

A caller that read a large answer steadily lost it after 10 s, and so did one that paused for longer although its request had time left.

Cause: body_timeout bounded the whole write of a response, whatever the caller took of it and whatever time its request had.

Change: a part of a response may be taken until the request's deadline, at least from now on, for body_timeout beyond it, and for a second more for each 100 KB. That is still a bound, so that a caller that takes a byte at a time cannot hold memory for good.

--- a/apps/mimosadeckd/edge/requests.cc
+++ b/apps/mimosadeckd/edge/requests.cc
@@ -186,7 +186,7 @@
       routing::PickService(*context->route, context->caller_request.id));
   context->job = internal::MakeJob(context->caller_request, *context->route);
   context->deadline = context->arrived_at + internal::TimeLimitOf(*context);
-  exchange.SetRequest(context->caller_request.id);
+  exchange.SetRequest(context->caller_request.id, context->deadline);
   exchange.OnCallerDisconnect([context] {
     context->caller_left = true;
     if (context->active_call) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -57,6 +57,9 @@
 inline constexpr std::chrono::milliseconds kDiscardTime{2000};
 /** Time in which a watch notices that a caller is overdue. */
 inline constexpr std::chrono::milliseconds kWatchTime{2000};
+/** Rate at which a caller must take a large part of a response at least. It
+ * bounds how long a caller that takes a byte at a time holds memory. */
+inline constexpr std::size_t kMinTakenBytesPerSecond = 100U * 1024U;
 
 inline http_request Convert(http::request<http::string_body>&& in) {
   http_request out;
@@ -141,6 +144,7 @@
       }
       SetPhase(connection_phase::answering);
       started_ = false;
+      deadline_ = {};
       try {
         co_await handler(*std::move(request), *this);
       } catch (const std::exception&) {
@@ -190,7 +194,7 @@
     out.keep_alive(KeepsOpen());
     out.prepare_payload();
     error_code failure;
-    BeginWrite();
+    BeginWrite(out.body().size());
     co_await http::async_write(
         stream_, out, asio::redirect_error(asio::use_awaitable, failure));
     co_return CheckWritten(failure);
@@ -207,7 +211,7 @@
     out.chunked(true);
     http::response_serializer<http::empty_body> serializer{out};
     error_code failure;
-    BeginWrite();
+    BeginWrite(0);
     co_await http::async_write_header(
         stream_, serializer,
         asio::redirect_error(asio::use_awaitable, failure));
@@ -219,7 +223,7 @@
       co_return false;
     }
     error_code failure;
-    BeginWrite();
+    BeginWrite(bytes.size());
     co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(bytes)),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -231,7 +235,7 @@
       co_return false;
     }
     error_code failure;
-    BeginWrite();
+    BeginWrite(0);
     co_await asio::async_write(
         stream_, http::make_chunk_last(),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -247,7 +251,11 @@
     Watch(watch_);
   }
 
-  void SetRequest(std::string name) override { request_ = std::move(name); }
+  void SetRequest(std::string name,
+                  std::chrono::steady_clock::time_point deadline) override {
+    request_ = std::move(name);
+    deadline_ = deadline;
+  }
 
   [[nodiscard]] bool HasStarted() const override { return started_; }
 
@@ -505,9 +513,12 @@
 
   /** @brief Sets the time until which the caller may take the bytes of a write;
    * those that the system has buffered by its end included. */
-  void BeginWrite() {
+  void BeginWrite(std::size_t bytes) {
+    const std::chrono::milliseconds size_allowance(1000 * bytes /
+                                                   kMinTakenBytesPerSecond);
     const auto take_until =
-        std::chrono::steady_clock::now() + limits_.body_timeout;
+        std::max(std::chrono::steady_clock::now(), deadline_) +
+        limits_.body_timeout + size_allowance;
     // The watch ends the connection first, and tells of the bytes.
     stream_.expires_at(take_until + kWatchTime);
     output_.OnWriteBegin(take_until);
@@ -631,6 +642,8 @@
   std::string address_;
   /** Name of the last request that got one. */
   std::string request_;
+  /** Time until which the caller may take the response in any case. */
+  std::chrono::steady_clock::time_point deadline_;
   std::atomic<connection_phase> phase_{connection_phase::idle};
   std::atomic<mono_time> progressed_at_{SuspendAwareNow()};
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -50,8 +50,10 @@
    * before the response ends. */
   virtual void OnCallerDisconnect(std::function<void()> on_disconnect) = 0;
 
-  /** @brief Sets the name of the request for `server_options::on_untaken`. */
-  virtual void SetRequest(std::string name) = 0;
+  /** @brief Sets the name of the request for `server_options::on_untaken`, and
+   * the time until which its caller may take the response, however slowly. */
+  virtual void SetRequest(std::string name,
+                          std::chrono::steady_clock::time_point deadline) = 0;
 
   /** @brief Returns true once a complete or chunked response was started. */
   [[nodiscard]] virtual bool HasStarted() const = 0;
@@ -67,8 +69,9 @@
   std::uint64_t body_limit_bytes{1U << 20U};
   /** Longest time for receiving a header. */
   std::chrono::milliseconds header_timeout{10000};
-  /** Longest time for receiving a body, and for the caller to take each part of
-   * a response. */
+  /** Longest time for receiving a body. A caller has this time, too, to take
+   * each part of a response; counted from the deadline of its request if that
+   * is later, and longer for large parts. */
   std::chrono::milliseconds body_timeout{10000};
   /** Idle time after which a connection is closed. */
   std::chrono::milliseconds idle_timeout{60000};
--- a/test/net/slow_peer_test.cc
+++ b/test/net/slow_peer_test.cc
@@ -57,17 +57,25 @@
   /** Pauses before each read, the last of them before all others. */
   std::vector<milliseconds> pauses;
   std::size_t bytes_per_read{std::size_t{64} << 10U};
+  /** The connection stays open after the response. */
+  bool is_kept{};
 };
 
 std::ostream& operator<<(std::ostream& out, const reading& form) {
   return out << form.name;
 }
 
+std::size_t SizeOf(const std::string& target) {
+  return std::stoul(target.substr(target.find_last_of('/') + 1));
+}
+
 /** A server whose responses have the size that their target states. */
 struct sizing_server {
   asio::io_context io{1};
   std::vector<net::untaken_response> untaken;
   int disconnects{};
+  /** Time that requests leave for their responses. */
+  milliseconds patience{};
   net::http_server server{
       {&io},
       "127.0.0.1:0",
@@ -86,9 +94,8 @@
 
   asio::awaitable<void> Serve(net::http_request request,
                               net::exchange& exchange) {
-    const auto size =
-        std::stoul(request.target.substr(request.target.find_last_of('/') + 1));
-    exchange.SetRequest(request.target);
+    const auto size = SizeOf(request.target);
+    exchange.SetRequest(request.target, steady::now() + patience);
     exchange.OnCallerDisconnect([this] { ++disconnects; });
     if (request.target.starts_with("/whole")) {
       net::http_response out;
@@ -128,15 +135,6 @@
   }
 };
 
-/** Returns the size of a body, given the bytes of a response. */
-std::size_t CountBody(const std::string& response) {
-  const auto body = response.find("\r\n\r\n");
-  return body == std::string::npos
-             ? 0
-             : std::count(response.begin() + static_cast<std::ptrdiff_t>(body),
-                          response.end(), 'x');
-}
-
 std::string AskFor(const std::string& target) {
   return "GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 }
@@ -145,23 +143,26 @@
   return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
 }
 
+/** Sends a request and reads its response, to the end of the body. */
 asio::awaitable<void> Take(tcp::socket caller,
                            const reading& form,
                            std::size_t& body_bytes) {
   error_code failure;
-  co_await asio::async_write(caller, asio::buffer(AskFor(form.target)),
-                             Redirect(failure));
-  std::string received;
+  const auto request =
+      form.is_kept ? AskOnKeptConnection(form.target) : AskFor(form.target);
+  co_await asio::async_write(caller, asio::buffer(request), Redirect(failure));
   std::vector<char> buffer(form.bytes_per_read);
-  for (std::size_t reads = 0; !failure; ++reads) {
+  for (std::size_t reads = 0; !failure && body_bytes < SizeOf(form.target);
+       ++reads) {
     if (!form.pauses.empty()) {
       co_await Sleep(form.pauses[std::min(reads, form.pauses.size() - 1)]);
     }
     const auto size = co_await caller.async_read_some(asio::buffer(buffer),
                                                       Redirect(failure));
-    received.append(buffer.data(), size);
+    // No header of these responses has an x.
+    body_bytes += std::count(buffer.begin(),
+                             buffer.begin() + static_cast<long>(size), 'x');
   }
-  body_bytes = CountBody(received);
 }
 
 BOOST_FIXTURE_TEST_SUITE(callers, sizing_server)
@@ -192,6 +193,38 @@
   BOOST_TEST(untaken.empty());
 }
 
+// Guards against a time limit for the whole response: a steady caller of a
+// large one takes longer, and one may pause while its request has time left.
+BOOST_AUTO_TEST_CASE(callers_with_time_left_get_their_whole_response) {
+  constexpr std::size_t kLargeBytes = std::size_t{9} << 20U;
+  patience = 12s;
+  const std::vector<reading> forms{
+      {"steady",
+       "/whole/" + std::to_string(kLargeBytes),
+       {100ms},
+       std::size_t{64} << 10U,
+       true},
+      {"pause",
+       "/whole/" + std::to_string(kBodyBytes),
+       {11s, 0ms},
+       kBodyBytes,
+       true},
+  };
+  std::array<std::size_t, 2> taken{};
+  int done = 0;
+  for (std::size_t i = 0; i < forms.size(); ++i) {
+    const int window = i == 0 ? 1 << 20 : kSmallWindowBytes;
+    asio::co_spawn(io, Take(Connect(window), forms[i], taken[i]),
+                   [&done](std::exception_ptr) { ++done; });
+  }
+  const auto time = TimeUntil([&] { return done == 2; });
+  BOOST_REQUIRE(time.has_value());
+  const net::connection_limits limits;
+  BOOST_TEST(time->count() > limits.body_timeout.count());
+  BOOST_TEST(taken[0] == kLargeBytes);
+  BOOST_TEST(taken[1] == kBodyBytes);
+}
+
 // Guards against work for callers whose machine is lost while bytes are on
 // their way, and against logs that do not tell of it.
 BOOST_AUTO_TEST_CASE(lost_caller_of_a_response_is_noticed) {
