Close connections once their callers have taken the last response

The last response of a connection was lost if its caller read slowly and sent anything after its request: the connection was closed at once, and the system resets a closed connection when input arrives. A planned stop ended the process with responses still under way.

Change: a connection that closes ends its own direction, discards input and waits until the system reports that all bytes are acknowledged, or the caller is lost or overdue. It counts as active for a drain meanwhile, and may be closed for a new connection like an idle one.

late_input_leaves_the_last_response_whole (4 of 46 KB arrived) and drain_waits_for_slow_callers failed before, as did the part of caller_that_never_reads_is_cut_off on connections that close; all pass.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -2,6 +2,7 @@
 #define NET_HTTP_CONNECTION_H_
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -17,6 +18,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -55,6 +57,7 @@
  * upstream. */
 inline constexpr std::uint64_t kBodyCopies = 2;
 inline constexpr std::chrono::milliseconds kDiscardTime{2000};
+inline constexpr std::chrono::milliseconds kTakenPollInterval{20};
 /** Time in which a watch notices that a caller is overdue. */
 inline constexpr std::chrono::milliseconds kWatchTime{2000};
 /** Rate at which a caller must take a large part of a response at least. It
@@ -153,16 +156,22 @@
       StopWatching();
       ReleaseBuffer();
       if (!keep_alive_ || !started_) {
+        claim.SetWhole(0);
+        co_await AwaitTaken();
         break;
       }
     }
+    // A stop of the server waits for what earlier responses left.
+    const active_request active(server_);
+    co_await AwaitTaken();
     Close();
   }
 
-  /** @brief Closes the connection if it is waiting for a request. */
+  /** @brief Closes the connection if it is waiting for a request, once the
+   * caller has taken its last response. */
   void CloseIfIdle() {
     if (reading_) {
-      Close();
+      stream_.cancel();
     }
   }
 
@@ -524,6 +533,29 @@
     output_.OnWriteBegin(take_until);
   }
 
+  /** @brief Waits until the caller has taken all bytes of the last response, or
+   * is lost. Until then input is discarded, since a close with unread input
+   * resets the connection, and the caller could lose the response. */
+  asio::awaitable<void> AwaitTaken() {
+    // The connection may be closed for another one.
+    SetPhase(connection_phase::idle);
+    error_code failure;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
+    std::array<char, kDiscardBytes> bytes{};
+    asio::steady_timer timer(stream_.get_executor());
+    while (!closed_) {
+      const auto output = ReadOutputState(stream_.socket().native_handle());
+      if (!output || output->pending_bytes == 0) {
+        break;
+      }
+      timer.expires_after(kTakenPollInterval);
+      co_await timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, failure));
+      stream_.socket().non_blocking(true, failure);
+      stream_.socket().read_some(asio::buffer(bytes), failure);
+    }
+  }
+
   bool CheckWritten(error_code failure) {
     output_.OnWriteEnd();
     if (failure) {
--- a/test/net/slow_peer_test.cc
+++ b/test/net/slow_peer_test.cc
@@ -59,6 +59,8 @@
   std::size_t bytes_per_read{std::size_t{64} << 10U};
   /** The connection stays open after the response. */
   bool is_kept{};
+  /** Sent after the request, before the response is read. */
+  std::string late_input{};
 };
 
 std::ostream& operator<<(std::ostream& out, const reading& form) {
@@ -151,6 +153,11 @@
   const auto request =
       form.is_kept ? AskOnKeptConnection(form.target) : AskFor(form.target);
   co_await asio::async_write(caller, asio::buffer(request), Redirect(failure));
+  if (!form.late_input.empty()) {
+    co_await Sleep(500ms);
+    co_await asio::async_write(caller, asio::buffer(form.late_input),
+                               Redirect(failure));
+  }
   std::vector<char> buffer(form.bytes_per_read);
   for (std::size_t reads = 0; !failure && body_bytes < SizeOf(form.target);
        ++reads) {
@@ -241,15 +248,54 @@
   BOOST_TEST(disconnects == 1);
 }
 
-// Guards against memory that is held for good by callers that never read.
+// Guards against memory that is held for good by callers that never read, on
+// connections that are kept and on those that close after their response.
 BOOST_AUTO_TEST_CASE(caller_that_never_reads_is_cut_off) {
-  auto caller = Connect(kSmallWindowBytes);
-  asio::write(caller, asio::buffer(AskOnKeptConnection("/whole/46000")));
-  const auto noticed = TimeUntil([this] { return !untaken.empty(); });
+  auto kept = Connect(kSmallWindowBytes);
+  asio::write(kept, asio::buffer(AskOnKeptConnection("/whole/46000")));
+  auto closing = Connect(kSmallWindowBytes);
+  asio::write(closing, asio::buffer(AskFor("/whole/46000")));
+  const auto noticed = TimeUntil([this] { return untaken.size() == 2; });
   BOOST_REQUIRE(noticed.has_value());
   const net::connection_limits limits;
   BOOST_TEST(noticed->count() >= limits.body_timeout.count());
   BOOST_TEST(untaken.front().reason == "overdue");
+  BOOST_TEST(untaken.back().reason == "overdue");
+}
+
+// Guards against losing a response because the caller sends a further request
+// on a connection that closes after it: unread input resets a connection.
+BOOST_AUTO_TEST_CASE(late_input_leaves_the_last_response_whole) {
+  const reading form{"",         "/whole/46000", {kPause / 4, 0ms},
+                     kBodyBytes, false,          AskFor("/whole/1")};
+  std::size_t taken = 0;
+  bool is_done = false;
+  asio::co_spawn(io, Take(Connect(kSmallWindowBytes), form, taken),
+                 [&is_done](std::exception_ptr) { is_done = true; });
+  BOOST_TEST(TimeUntil([&] { return is_done; }).has_value());
+  BOOST_TEST(taken == kBodyBytes);
+}
+
+// Guards against a process that ends while the response of a slow caller is
+// still on its way.
+BOOST_AUTO_TEST_CASE(drain_waits_for_slow_callers) {
+  const reading form{"", "/whole/46000", {kPause, 0ms}};
+  std::size_t taken = 0;
+  std::optional<std::size_t> remaining;
+  asio::co_spawn(io, Take(Connect(kSmallWindowBytes), form, taken),
+                 asio::detached);
+  io.run_for(100ms);
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        remaining = co_await server.Drain(kTimeLimit);
+      },
+      asio::detached);
+  io.run_for(kPause / 2);
+  BOOST_TEST(!remaining.has_value());
+  BOOST_TEST(TimeUntil([&] { return remaining && taken > 0; }).has_value());
+  BOOST_TEST(remaining.value_or(1) == 0U);
+  BOOST_TEST(taken == kBodyBytes);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
