Do not count a caller's pause against its upstream

A resumable stream ran a second time, and its caller lost it, when the caller read nothing for longer than the stall time while the buffers between were full: the timer ran on while the entry itself waited for the caller, closed a sound run and reported it as broken off.

Change: the stall timer does not act while events are being written to the caller, and starts anew afterwards. The logged pause leaves that time out as well.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -246,8 +246,12 @@
       }
       RecordEventGap();
       RecordIfLasting();
-      RestartStallTimer();
+      // The caller's slowness is not that of the upstream.
+      awaits_caller_ = true;
       const bool is_written = co_await ForwardEvents(std::move(whole_events));
+      awaits_caller_ = false;
+      context_->last_event_at = steady::now();
+      RestartStallTimer();
       held_.Set(context_->framer.rest.capacity());
       if (!is_written) {
         call_.Close();
@@ -299,7 +303,7 @@
     stall_timer_.expires_after(*stall);
     stall_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](
                                 boost::system::error_code failure) {
-      if (!failure && !alive.expired()) {
+      if (!failure && !alive.expired() && !awaits_caller_) {
         OnStall();
       }
     });
@@ -469,6 +473,8 @@
   forwarding::held_bytes held_;
   asio::steady_timer stall_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+  /** Events are being written to the caller. */
+  bool awaits_caller_{};
   steady::time_point started_;
   mono_time sent_at_;
   bool has_begun_{};
--- a/test/system/slow_caller_system_test.cc
+++ b/test/system/slow_caller_system_test.cc
@@ -28,6 +28,8 @@
 constexpr int kReceiveBytes = 4096;
 constexpr std::size_t kEventBytes = 480;
 constexpr std::size_t kAnswerBytes = 95 * kEventBytes;
+/** More than the buffers between an upstream and a caller hold. */
+constexpr std::size_t kLargeStreamBytes = std::size_t{16} << 20U;
 
 /** Returns a stream whose events hold a number of bytes `x` in total. */
 raw_reply StreamReply(std::size_t bytes) {
@@ -175,6 +177,17 @@
   CheckAnswersAround(SIGTERM);
 }
 
+// Guards against another run of a stream because its caller, not its upstream,
+// is slow.
+BOOST_AUTO_TEST_CASE(stream_of_a_caller_that_pauses_runs_once) {
+  script.replies = {StreamReply(kLargeStreamBytes), StreamReply(kAnswerBytes)};
+  std::size_t count = 0;
+  AskSlowly("/resume/x", kPause, kLargeStreamBytes, count);
+  BOOST_TEST(Eventually([this] { return done == 1; }));
+  BOOST_TEST(script.requests.size() == 1U);
+  BOOST_TEST(count >= kLargeStreamBytes);
+}
+
 // Guards against logs that call an answer served and do not tell that its
 // caller did not take it.
 BOOST_AUTO_TEST_CASE(answer_that_its_caller_does_not_take_is_logged) {
