Follow the delivery of responses in a class of its own

A connection counts as active in one place until its last response is delivered.

The event, the metric and the callback are called `undelivered`, the usual term, in place of `untaken`. The words for the position of an event move from the attempt to the library that defines it.

No bound and no assertion changes. slow_peer_test, slow_caller_system_test, http_server_test, http_call_test, peer_silence_test and event_framer_test pass. slow_peer_test prints how long a lost peer takes to be noticed.

--- a/apps/mimosadeckd/edge/attempt.cc
+++ b/apps/mimosadeckd/edge/attempt.cc
@@ -35,22 +35,6 @@
  * answer; one that is written for longer is not of it. */
 constexpr std::chrono::milliseconds kMaxTimeToCrash{1000};
 
-std::string_view DescribePosition(answer::event_position position) {
-  switch (position) {
-    case answer::event_position::next:
-      return "next event";
-    case answer::event_position::repeated:
-      return "repeated event";
-    case answer::event_position::after_gap:
-      return "events are missing";
-    case answer::event_position::unknown:
-      return "id gives no position";
-    case answer::event_position::not_an_event:
-      return "bytes are no event";
-  }
-  return "unlisted position";
-}
-
 /** @brief One attempt at one upstream. */
 class attempt {
  public:
@@ -276,7 +260,7 @@
     call_.Close();
     return {attempt_end::broke_off, false,
             "run does not continue the stream: " +
-                std::string(DescribePosition(*context_->framer.misplaced)),
+                std::string(answer::Describe(*context_->framer.misplaced)),
             std::nullopt};
   }
 
--- a/apps/mimosadeckd/edge/daemon.cc
+++ b/apps/mimosadeckd/edge/daemon.cc
@@ -164,10 +164,11 @@
           telemetry::level::warning, "caller_cut_off",
           {{"listener", listener}, {"reason", reason}, {"address", address}});
     };
-    out.on_untaken = [this, listener](const net::untaken_response& lost) {
-      state_.metrics.Count("mimosadeck_responses_untaken_total", "listener",
+    out.on_undelivered = [this,
+                          listener](const net::undelivered_response& lost) {
+      state_.metrics.Count("mimosadeck_responses_undelivered_total", "listener",
                            listener);
-      telemetry::Log(telemetry::level::info, "response_untaken",
+      telemetry::Log(telemetry::level::info, "response_undelivered",
                      {{"listener", listener},
                       {"request", lost.request},
                       {"address", lost.address},
--- a/apps/mimosadeckd/main.cc
+++ b/apps/mimosadeckd/main.cc
@@ -133,8 +133,8 @@
       telemetry::Log(telemetry::level::warning, "caller_cut_off",
                      {{"reason", cause}, {"address", address}});
     };
-    options.on_untaken = [](const net::untaken_response& lost) {
-      telemetry::Log(telemetry::level::info, "response_untaken",
+    options.on_undelivered = [](const net::undelivered_response& lost) {
+      telemetry::Log(telemetry::level::info, "response_undelivered",
                      {{"address", lost.address},
                       {"reason", lost.reason},
                       {"bytes", std::to_string(lost.bytes)}});
--- a/src/answer/event_order.cc
+++ b/src/answer/event_order.cc
@@ -49,6 +49,22 @@
                                  : event_position::unknown;
 }
 
+std::string_view Describe(event_position position) {
+  switch (position) {
+    case event_position::next:
+      return "next event";
+    case event_position::repeated:
+      return "repeated event";
+    case event_position::after_gap:
+      return "events are missing";
+    case event_position::unknown:
+      return "id gives no position";
+    case event_position::not_an_event:
+      return "bytes are no event";
+  }
+  return "unlisted position";
+}
+
 bool CanContinue(const event_order& state) {
   return state.last_id.has_value() && state.is_increasing;
 }
--- a/src/answer/event_order.h
+++ b/src/answer/event_order.h
@@ -48,6 +48,9 @@
 [[nodiscard]] event_position PositionOf(const event_order& state,
                                         std::optional<std::uint64_t> id);
 
+/** @brief Returns the position in words, for logs. */
+[[nodiscard]] std::string_view Describe(event_position position);
+
 /** @brief Returns true if another run can continue after the last event. */
 [[nodiscard]] bool CanContinue(const event_order& state);
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -2,7 +2,6 @@
 #define NET_HTTP_CONNECTION_H_
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -18,16 +17,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "base/time.h"
+#include "net/connection_state.h"
 #include "net/http_fields.h"
 #include "net/http_server.h"
-#include "net/output_state.h"
-#include "net/peer_watch.h"
+#include "net/response_delivery.h"
 #include "net/socket_options.h"
 
 namespace mimosadeck::net::internal {
@@ -57,12 +55,6 @@
  * upstream. */
 inline constexpr std::uint64_t kBodyCopies = 2;
 inline constexpr std::chrono::milliseconds kDiscardTime{2000};
-inline constexpr std::chrono::milliseconds kTakenPollInterval{20};
-/** Time in which a watch notices that a caller is overdue. */
-inline constexpr std::chrono::milliseconds kWatchTime{2000};
-/** Rate at which a caller must take a large part of a response at least. It
- * bounds how long a caller that takes a byte at a time holds memory. */
-inline constexpr std::size_t kMinTakenBytesPerSecond = 100U * 1024U;
 
 inline http_request Convert(http::request<http::string_body>&& in) {
   http_request out;
@@ -73,42 +65,6 @@
   return out;
 }
 
-/** @brief State that a server shares with its connections. */
-struct server_state {
-  /** Requests that are being received or answered. */
-  std::atomic<std::size_t> active{0};
-  /** Connections close after the response in progress. */
-  std::atomic<bool> closing{false};
-  /** Connections that wait for a request close. */
-  std::atomic<bool> stopping{false};
-  /** The drain is over: no request is handled any more. */
-  std::atomic<bool> drained{false};
-};
-
-/** @brief What a connection does, for the choice of one to close. */
-enum class connection_phase {
-  /** Waits for the first byte of a request. */
-  idle,
-  /** Receives a request. */
-  receiving,
-  /** Answers a request. */
-  answering,
-};
-
-/** @brief Counts a request as active for the lifetime of this object. */
-class active_request {
- public:
-  explicit active_request(server_state& server) : server_(server) {
-    ++server_.active;
-  }
-  ~active_request() { --server_.active; }
-  active_request(const active_request&) = delete;
-  active_request& operator=(const active_request&) = delete;
-
- private:
-  server_state& server_;
-};
-
 /** @brief A connection, which is also the exchange of its current request. */
 class connection final : public exchange,
                          public std::enable_shared_from_this<connection> {
@@ -117,10 +73,9 @@
              const server_options& settings,
              server_state& server)
       : stream_(std::move(socket)),
-        output_(stream_.socket(),
-                [this](loss_reason reason) { OnCallerLost(reason); }),
         settings_(settings),
-        server_(server) {
+        server_(server),
+        delivery_(stream_, settings_, address_, [this] { OnCallerLost(); }) {
     SetConnectionOptions(stream_.socket());
     error_code ignored;
     const auto peer = stream_.socket().remote_endpoint(ignored);
@@ -128,13 +83,15 @@
   }
 
   asio::awaitable<void> Run(http_handler handler) {
+    std::optional<active_request> active;
     while (!closed_ && (!server_.stopping || HasPipelinedRequest())) {
+      active.reset();
       limits_ = CurrentLimits();
       const bool has_request = co_await WaitForRequest();
       if (!has_request) {
         break;
       }
-      const active_request active(server_);
+      active.emplace(server_);
       receive_claim claim(settings_.receive_budget.get(), address_,
                           [weak = weak_from_this()] { CutLater(weak); });
       std::optional<http_request> request;
@@ -147,7 +104,7 @@
       }
       SetPhase(connection_phase::answering);
       started_ = false;
-      deadline_ = {};
+      delivery_.OnNextRequest();
       try {
         co_await handler(*std::move(request), *this);
       } catch (const std::exception&) {
@@ -156,19 +113,22 @@
       StopWatching();
       ReleaseBuffer();
       if (!keep_alive_ || !started_) {
-        claim.SetWhole(0);
-        co_await AwaitTaken();
         break;
       }
     }
-    // A stop of the server waits for what earlier responses left.
-    const active_request active(server_);
-    co_await AwaitTaken();
+    // A drain waits for the delivery.
+    if (!active) {
+      active.emplace(server_);
+    }
+    if (!closed_) {
+      SetPhase(connection_phase::idle);
+      co_await delivery_.Finish();
+    }
     Close();
   }
 
-  /** @brief Closes the connection if it is waiting for a request, once the
-   * caller has taken its last response. */
+  /** @brief Closes the connection if it is waiting for a request, once its last
+   * response is delivered. */
   void CloseIfIdle() {
     if (reading_) {
       stream_.cancel();
@@ -203,7 +163,7 @@
     out.keep_alive(KeepsOpen());
     out.prepare_payload();
     error_code failure;
-    BeginWrite(out.body().size());
+    delivery_.BeginWrite(out.body().size(), limits_.body_timeout);
     co_await http::async_write(
         stream_, out, asio::redirect_error(asio::use_awaitable, failure));
     co_return CheckWritten(failure);
@@ -220,7 +180,7 @@
     out.chunked(true);
     http::response_serializer<http::empty_body> serializer{out};
     error_code failure;
-    BeginWrite(0);
+    delivery_.BeginWrite(0, limits_.body_timeout);
     co_await http::async_write_header(
         stream_, serializer,
         asio::redirect_error(asio::use_awaitable, failure));
@@ -232,7 +192,7 @@
       co_return false;
     }
     error_code failure;
-    BeginWrite(bytes.size());
+    delivery_.BeginWrite(bytes.size(), limits_.body_timeout);
     co_await asio::async_write(
         stream_, http::make_chunk(asio::buffer(bytes)),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -244,7 +204,7 @@
       co_return false;
     }
     error_code failure;
-    BeginWrite(0);
+    delivery_.BeginWrite(0, limits_.body_timeout);
     co_await asio::async_write(
         stream_, http::make_chunk_last(),
         asio::redirect_error(asio::use_awaitable, failure));
@@ -262,8 +222,7 @@
 
   void SetRequest(std::string name,
                   std::chrono::steady_clock::time_point deadline) override {
-    request_ = std::move(name);
-    deadline_ = deadline;
+    delivery_.SetRequest(std::move(name), deadline);
   }
 
   [[nodiscard]] bool HasStarted() const override { return started_; }
@@ -287,7 +246,7 @@
         asio::redirect_error(asio::use_awaitable, failure));
     reading_ = false;
     buffer_.commit(read);
-    ReportIfUntaken(failure);
+    delivery_.ReportIfUndelivered(failure);
     co_return !failure && !closed_;
   }
 
@@ -520,46 +479,9 @@
     }
   }
 
-  /** @brief Sets the time until which the caller may take the bytes of a write;
-   * those that the system has buffered by its end included. */
-  void BeginWrite(std::size_t bytes) {
-    const std::chrono::milliseconds size_allowance(1000 * bytes /
-                                                   kMinTakenBytesPerSecond);
-    const auto take_until =
-        std::max(std::chrono::steady_clock::now(), deadline_) +
-        limits_.body_timeout + size_allowance;
-    // The watch ends the connection first, and tells of the bytes.
-    stream_.expires_at(take_until + kWatchTime);
-    output_.OnWriteBegin(take_until);
-  }
-
-  /** @brief Waits until the caller has taken all bytes of the last response, or
-   * is lost. Until then input is discarded, since a close with unread input
-   * resets the connection, and the caller could lose the response. */
-  asio::awaitable<void> AwaitTaken() {
-    // The connection may be closed for another one.
-    SetPhase(connection_phase::idle);
-    error_code failure;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
-    std::array<char, kDiscardBytes> bytes{};
-    asio::steady_timer timer(stream_.get_executor());
-    while (!closed_) {
-      const auto output = ReadOutputState(stream_.socket().native_handle());
-      if (!output || output->pending_bytes == 0) {
-        break;
-      }
-      timer.expires_after(kTakenPollInterval);
-      co_await timer.async_wait(
-          asio::redirect_error(asio::use_awaitable, failure));
-      stream_.socket().non_blocking(true, failure);
-      stream_.socket().read_some(asio::buffer(bytes), failure);
-    }
-  }
-
   bool CheckWritten(error_code failure) {
-    output_.OnWriteEnd();
+    delivery_.EndWrite(failure);
     if (failure) {
-      ReportIfUntaken(failure);
       closed_ = true;
       return false;
     }
@@ -567,27 +489,9 @@
     return true;
   }
 
-  /** @brief Reports that the caller ended the connection before it had taken
-   * all bytes; one that ends only its own direction may still take them. */
-  void ReportIfUntaken(error_code failure) {
-    if (failure && failure != asio::error::eof &&
-        failure != asio::error::operation_aborted && !closed_) {
-      ReportUntaken(failure == beast::error::timeout ? "overdue"
-                                                     : failure.message());
-    }
-  }
-
-  void ReportUntaken(std::string reason) {
-    const auto bytes = PendingBytes(stream_.socket().native_handle());
-    if (bytes > 0 && settings_.on_untaken) {
-      settings_.on_untaken({request_, address_, std::move(reason), bytes});
-    }
-  }
-
   /** @brief Ends the work for a caller whose connection is about to be reset.
    */
-  void OnCallerLost(loss_reason reason) {
-    ReportUntaken(reason == loss_reason::silent ? "silent" : "overdue");
+  void OnCallerLost() {
     closed_ = true;
     if (watch_) {
       NotifyDisconnect();
@@ -631,7 +535,7 @@
       return false;
     }
     if (failure || size == 0) {
-      ReportIfUntaken(failure);
+      delivery_.ReportIfUndelivered(failure);
       closed_ = true;
       return true;
     }
@@ -657,7 +561,6 @@
   }
 
   beast::tcp_stream stream_;
-  peer_watch output_;
   beast::flat_buffer buffer_;
   const server_options& settings_;
   server_state& server_;
@@ -672,12 +575,9 @@
   bool was_cut_{false};
   /** Address of the caller, without the port. */
   std::string address_;
-  /** Name of the last request that got one. */
-  std::string request_;
-  /** Time until which the caller may take the response in any case. */
-  std::chrono::steady_clock::time_point deadline_;
   std::atomic<connection_phase> phase_{connection_phase::idle};
   std::atomic<mono_time> progressed_at_{SuspendAwareNow()};
+  response_delivery delivery_;
 };
 
 }  // namespace mimosadeck::net::internal
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -50,8 +50,9 @@
    * before the response ends. */
   virtual void OnCallerDisconnect(std::function<void()> on_disconnect) = 0;
 
-  /** @brief Sets the name of the request for `server_options::on_untaken`, and
-   * the time until which its caller may take the response, however slowly. */
+  /** @brief Sets the name of the request for `server_options::on_undelivered`,
+   * and the time until which its caller may take the response, however slowly.
+   */
   virtual void SetRequest(std::string name,
                           std::chrono::steady_clock::time_point deadline) = 0;
 
@@ -79,7 +80,7 @@
 
 /** @brief A connection that ended while bytes of responses were on their way to
  * the caller. */
-struct untaken_response {
+struct undelivered_response {
   /** Last request of the connection that has a name; empty if there is none. */
   std::string request;
   /** Address of the caller, without the port. */
@@ -117,7 +118,7 @@
   std::function<void(std::string_view reason, const std::string& address)>
       on_cut;
   /** Called for each such connection; may be called on any thread. */
-  std::function<void(const untaken_response& lost)> on_untaken;
+  std::function<void(const undelivered_response& lost)> on_undelivered;
 };
 
 /**
--- a/src/net/peer_watch.cc
+++ b/src/net/peer_watch.cc
@@ -42,7 +42,7 @@
     const auto now = steady::now();
     const bool is_silent =
         OnOutputSample(silence, kSilenceOptions, *sample, now);
-    if (!is_silent && now < take_until) {
+    if (!is_silent && now < deliver_until) {
       return true;
     }
     is_lost = true;
@@ -60,7 +60,7 @@
   std::function<void(loss_reason)> on_lost;
   watch_service* service{};
   peer_silence silence;
-  mono_time take_until;
+  mono_time deliver_until;
   /** The write in progress may pass on more bytes. */
   bool is_writing{};
   bool is_watched{};
@@ -148,8 +148,8 @@
   }
 }
 
-void peer_watch::OnWriteBegin(mono_time take_until) {
-  impl_->take_until = take_until;
+void peer_watch::OnWriteBegin(mono_time deliver_until) {
+  impl_->deliver_until = deliver_until;
   impl_->is_writing = true;
   if (!impl_->is_watched && !impl_->is_lost) {
     impl_->service->Add(impl_, impl_->socket->get_executor());
--- a/src/net/peer_watch.h
+++ b/src/net/peer_watch.h
@@ -45,8 +45,8 @@
 
   /** @brief Watches until the write has ended and all its bytes are
    * acknowledged.
-   * @param take_until Time at which the peer must have taken all of it. */
-  void OnWriteBegin(mono_time take_until = mono_time::max());
+   * @param deliver_until Time at which the peer must have taken all of it. */
+  void OnWriteBegin(mono_time deliver_until = mono_time::max());
 
   void OnWriteEnd();
 
--- a/test/net/slow_peer_test.cc
+++ b/test/net/slow_peer_test.cc
@@ -74,7 +74,7 @@
 /** A server whose responses have the size that their target states. */
 struct sizing_server {
   asio::io_context io{1};
-  std::vector<net::untaken_response> untaken;
+  std::vector<net::undelivered_response> undelivered;
   int disconnects{};
   /** Time that requests leave for their responses. */
   milliseconds patience{};
@@ -88,8 +88,8 @@
 
   net::server_options Settings() {
     net::server_options out;
-    out.on_untaken = [this](const net::untaken_response& lost) {
-      untaken.push_back(lost);
+    out.on_undelivered = [this](const net::undelivered_response& lost) {
+      undelivered.push_back(lost);
     };
     return out;
   }
@@ -197,7 +197,7 @@
   for (std::size_t i = 0; i < forms.size(); ++i) {
     BOOST_TEST(taken[i] == kBodyBytes, forms[i] << ": " << taken[i]);
   }
-  BOOST_TEST(untaken.empty());
+  BOOST_TEST(undelivered.empty());
 }
 
 // Guards against a time limit for the whole response: a steady caller of a
@@ -239,12 +239,13 @@
   asio::write(caller, asio::buffer(AskFor("/stream/100000000")));
   io.run_for(200ms);
   DropAllInput(caller);
-  const auto noticed = TimeUntil([this] { return !untaken.empty(); });
+  const auto noticed = TimeUntil([this] { return !undelivered.empty(); });
   BOOST_REQUIRE(noticed.has_value());
+  BOOST_TEST_MESSAGE("noticed after " << noticed->count() << " ms");
   BOOST_TEST(noticed->count() < milliseconds(kNoticeTime).count());
-  BOOST_TEST(untaken.front().reason == "silent");
-  BOOST_TEST(untaken.front().request == "/stream/100000000");
-  BOOST_TEST(untaken.front().bytes > 0);
+  BOOST_TEST(undelivered.front().reason == "silent");
+  BOOST_TEST(undelivered.front().request == "/stream/100000000");
+  BOOST_TEST(undelivered.front().bytes > 0);
   BOOST_TEST(disconnects == 1);
 }
 
@@ -255,12 +256,12 @@
   asio::write(kept, asio::buffer(AskOnKeptConnection("/whole/46000")));
   auto closing = Connect(kSmallWindowBytes);
   asio::write(closing, asio::buffer(AskFor("/whole/46000")));
-  const auto noticed = TimeUntil([this] { return untaken.size() == 2; });
+  const auto noticed = TimeUntil([this] { return undelivered.size() == 2; });
   BOOST_REQUIRE(noticed.has_value());
   const net::connection_limits limits;
   BOOST_TEST(noticed->count() >= limits.body_timeout.count());
-  BOOST_TEST(untaken.front().reason == "overdue");
-  BOOST_TEST(untaken.back().reason == "overdue");
+  BOOST_TEST(undelivered.front().reason == "overdue");
+  BOOST_TEST(undelivered.back().reason == "overdue");
 }
 
 // Guards against losing a response because the caller sends a further request
@@ -369,6 +370,7 @@
   void CheckNoticed() {
     RunToEnd();
     BOOST_REQUIRE(failure.has_value());
+    BOOST_TEST_MESSAGE("noticed after " << ended_after->count() << " ms");
     BOOST_TEST((failure->progress == net::call_progress::sent));
     BOOST_TEST(failure->timed_out);
     BOOST_TEST(ended_after->count() < milliseconds(kNoticeTime + 1s).count());
--- a/test/system/slow_caller_system_test.cc
+++ b/test/system/slow_caller_system_test.cc
@@ -198,7 +198,7 @@
   caller.set_option(asio::socket_base::linger(true, 0));
   caller.close();
   const auto line =
-      json::parse(entry->LineWith("\"response_untaken\"")).as_object();
+      json::parse(entry->LineWith("\"response_undelivered\"")).as_object();
   BOOST_TEST(line.at("request") == "the-id");
   BOOST_TEST(line.at("reason") != "");
   BOOST_TEST(line.at("bytes") != "0");
