--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -509,19 +509,19 @@
     if (buffer_.size() >= kReadAheadBytes) {
       return;
     }
-    stream_.socket().async_wait(tcp::socket::wait_read,
-                                asio::bind_cancellation_slot(
-                                    watch->slot(), [self = shared_from_this(),
-                                                    watch](error_code failure) {
-                                      if (failure || self->watch_ != watch) {
-                                        return;
-                                      }
-                                      if (self->ReadAhead()) {
-                                        self->NotifyDisconnect();
-                                      } else {
-                                        self->Watch(watch);
-                                      }
-                                    }));
+    auto on_readable = [self = shared_from_this(), watch](error_code failure) {
+      if (failure || self->watch_ != watch) {
+        return;
+      }
+      if (self->ReadAhead()) {
+        self->NotifyDisconnect();
+      } else {
+        self->Watch(watch);
+      }
+    };
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(watch->slot(), std::move(on_readable)));
   }
 
   /** @brief Reads bytes of pipelined requests.
